--- /dev/null
+++ b/libs/balance/include/balance/Job.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "core/EnumTable.h"
+#include "fleet/KeyRange.h"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sequoia::balance {
+
+//! Identifies a job among those of all hosts.
+struct JobId {
+    std::uint64_t host = 0;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const JobId&) const = default;
+};
+
+//! One request that needs a backend server. A request that is sent again is a new job.
+struct Job {
+    JobId id;
+    std::string service;
+    std::optional<fleet::Key> key; //!< of keyed services
+    std::uint32_t priority = 0; //!< 0 is the most urgent
+    TimePoint target {}; //!< an answer after this is late for the caller
+    TimePoint deadline {}; //!< an answer after this is lost
+    std::uint32_t attempt = 0; //!< backend servers that the request reached before
+    std::uint32_t maxAttempts = 1;
+    std::vector<std::string> tried; //!< backend servers that failed it
+    std::uint64_t fingerprint = 0; //!< equal for requests with the same content
+};
+
+//! How a placed job ended.
+enum class JobResult {
+    Answered,
+    ServerError, //!< A complete answer of the server that reports a failure.
+    Rejected, //!< The server did not run it.
+    WrongOwner, //!< The server does not own the key, or is another one than expected.
+    ConnectFailed, //!< Nothing was sent.
+    Lost, //!< The connection ended, or the answer was malformed; it may have run.
+    TimedOut,
+    Abandoned, //!< The caller left, or the job was not sent for another reason.
+};
+
+inline constexpr EnumTable<JobResult, 8> jobResultNames { {
+    { JobResult::Answered, "answered" },
+    { JobResult::ServerError, "server-error" },
+    { JobResult::Rejected, "rejected" },
+    { JobResult::WrongOwner, "wrong-owner" },
+    { JobResult::ConnectFailed, "connect-failed" },
+    { JobResult::Lost, "lost" },
+    { JobResult::TimedOut, "timed-out" },
+    { JobResult::Abandoned, "abandoned" },
+} };
+
+//! Why a job got no backend server.
+enum class RefusalReason {
+    Overloaded, //!< It would wait beyond its deadline.
+    NoServer,
+    NoOwner, //!< Nobody serves the key at the moment.
+    RetryBudget,
+    Quarantined, //!< Requests with this content crashed backend servers.
+};
+
+inline constexpr EnumTable<RefusalReason, 5> refusalReasonNames { {
+    { RefusalReason::Overloaded, "overloaded" },
+    { RefusalReason::NoServer, "no-server" },
+    { RefusalReason::NoOwner, "no-owner" },
+    { RefusalReason::RetryBudget, "retry-budget" },
+    { RefusalReason::Quarantined, "quarantined" },
+} };
+
+struct Placed {
+    JobId job;
+    std::string server;
+};
+
+struct Refused {
+    JobId job;
+    RefusalReason reason = RefusalReason::Overloaded;
+    Duration retryAfter {};
+};
+
+using Decision = std::variant<Placed, Refused>;
+
+}
--- /dev/null
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "balance/Job.h"
+#include "fleet/ServerEntry.h"
+
+#include <map>
+#include <string>
+
+namespace sequoia::balance {
+
+//! What is known of one backend server's load, speed and health. Speed and health come from its answers only, since
+//! health checks mislead and take slots.
+class ServerLoad {
+public:
+    explicit ServerLoad(fleet::ServerEntry entry, TimePoint now);
+
+    void update(const fleet::ServerEntry& entry, TimePoint now);
+    void setOthersInFlight(unsigned count) { this->othersInFlight = count; }
+
+    void placed(JobId job, TimePoint now);
+    //! `normalTime` is the usual time of the service.
+    void ended(JobId job, JobResult result, Duration elapsed, Duration normalTime, TimePoint now);
+    bool holds(JobId job) const { return this->jobs.contains(job); }
+
+    const fleet::ServerEntry& entry() const { return this->current; }
+    unsigned inFlight() const { return static_cast<unsigned>(this->jobs.size()) + this->othersInFlight; }
+    //! Whether a job may be sent now, with `extra` jobs beyond the slots, where `share` of the slots may be used.
+    bool hasRoom(unsigned extra, double share, TimePoint now) const;
+    bool isUsable(TimePoint now) const;
+    TimePoint usableAt() const { return this->suspendedUntil; }
+
+    //! Expected time of a job relative to the usual time of the service; above 1 is slower.
+    double slowness(Duration normalTime, TimePoint now) const;
+    //! Share of recent jobs that were rejected or failed.
+    double failureShare(TimePoint now) const;
+
+private:
+    void suspend(Duration time, TimePoint now);
+    //! What the measurements still count, from 1 (new) to 0 (forgotten).
+    double memory(TimePoint now) const;
+
+    fleet::ServerEntry current;
+    std::map<JobId, TimePoint> jobs;
+    unsigned othersInFlight = 0;
+    double relativeTime = 1;
+    double failures = 0;
+    unsigned failuresInRow = 0;
+    TimePoint coldUntil {};
+    TimePoint suspendedUntil {};
+    TimePoint lastSample {};
+};
+
+}
--- /dev/null
+++ b/libs/balance/src/Quarantine.cpp
@@ -0,0 +1,46 @@
+#include "balance/Quarantine.h"
+
+namespace sequoia::balance {
+
+namespace {
+
+// A crashed server refuses connections at once; later refusals have another cause.
+constexpr Duration crashFollowsLoss = std::chrono::milliseconds(1500);
+// Crashes after which no further server is put at risk.
+constexpr std::size_t crashesToQuarantine = 3;
+constexpr Duration suspectMemory = std::chrono::minutes(10);
+
+}
+
+void Quarantine::lost(std::uint64_t fingerprint, const std::string& server, TimePoint now)
+{
+    if (fingerprint != 0)
+        this->losses.emplace(server, Loss { fingerprint, server, now });
+}
+
+void Quarantine::crashed(const std::string& server, TimePoint now)
+{
+    auto [begin, end] = this->losses.equal_range(server);
+    for (auto loss = begin; loss != end; ++loss) {
+        if (now - loss->second.time > crashFollowsLoss)
+            continue;
+        auto& suspect = this->suspects[loss->second.fingerprint];
+        suspect.crashedServers.insert(server);
+        suspect.lastSeen = now;
+    }
+    this->losses.erase(begin, end);
+}
+
+bool Quarantine::isQuarantined(std::uint64_t fingerprint) const
+{
+    auto found = this->suspects.find(fingerprint);
+    return found != this->suspects.end() && found->second.crashedServers.size() >= crashesToQuarantine;
+}
+
+void Quarantine::forgetOld(TimePoint now)
+{
+    std::erase_if(this->losses, [&](const auto& entry) { return now - entry.second.time > crashFollowsLoss; });
+    std::erase_if(this->suspects, [&](const auto& entry) { return now - entry.second.lastSeen > suspectMemory; });
+}
+
+}
--- /dev/null
+++ b/libs/balance/src/RepeatBudget.cpp
@@ -0,0 +1,54 @@
+#include "balance/RepeatBudget.h"
+
+#include <cassert>
+
+namespace sequoia::balance {
+
+namespace {
+
+// Part of the allowance that is used, so that repeats on their way and hosts that decide alone for a moment do not
+// exceed it together.
+constexpr double usedPart = 0.8;
+
+}
+
+RepeatBudget::RepeatBudget(Duration length, double allowedRatio, double allowedSlack)
+    : window(length)
+    , ratio(allowedRatio)
+    , slack(allowedSlack)
+{
+    assert(length >= std::chrono::seconds(1));
+}
+
+void RepeatBudget::noteRequest(TimePoint now)
+{
+    ++this->current(now).requests;
+}
+
+bool RepeatBudget::tryRepeat(TimePoint now, double share)
+{
+    auto& second = this->current(now);
+    double requests = 0;
+    double repeats = 0;
+    for (const auto& entry : this->seconds) {
+        requests += static_cast<double>(entry.requests);
+        repeats += static_cast<double>(entry.repeats);
+    }
+    if (repeats + 1 > usedPart * (this->ratio * requests + this->slack * share))
+        return false;
+    ++second.repeats;
+    return true;
+}
+
+RepeatBudget::Second& RepeatBudget::current(TimePoint now)
+{
+    std::int64_t number = toMillis(now) / 1000;
+    // Whole seconds are forgotten, so the sum covers between one window and one second more.
+    while (!this->seconds.empty() && number - this->seconds.front().number > toMillis(this->window) / 1000)
+        this->seconds.pop_front();
+    if (this->seconds.empty() || this->seconds.back().number != number)
+        this->seconds.push_back({ number, 0, 0 });
+    return this->seconds.back();
+}
+
+}
--- /dev/null
+++ b/libs/balance/src/Scheduler.cpp
@@ -0,0 +1,407 @@
+#include "balance/Scheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace sequoia::balance {
+
+namespace {
+
+// Until the first answers of a service are in.
+constexpr Duration assumedTime = std::chrono::milliseconds(150);
+// Weight of the newest answer in the usual time of a service; about fifty answers decide.
+constexpr double newestWeight = 0.02;
+// Jobs beyond its slots that a server gets, so that it has the next one at hand.
+constexpr unsigned extraOfKeyed = 1;
+constexpr unsigned extraOfUnkeyed = 0;
+// Servers whose expected time is this many times the usual one get only jobs that they finish in time.
+constexpr double slowCost = 3;
+// Part of the usual time without which a job is not worth starting.
+constexpr double leastWorkLeft = 0.6;
+// Retry-After lies between these; callers wait at most a third of the time that they have left.
+constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
+constexpr double callerPatience = 1.0 / 3;
+// Waiting jobs are checked against their deadlines this often.
+constexpr Duration sweepInterval = std::chrono::milliseconds(50);
+// A placed job whose end is not reported is given up this long after its deadline.
+constexpr Duration lostReportSlack = std::chrono::milliseconds(500);
+
+const std::string anyServer;
+
+}
+
+//! Waiting jobs and measurements of one service.
+struct Scheduler::Pool {
+    struct Rank {
+        std::uint32_t priority;
+        TimePoint target;
+        JobId id;
+
+        auto operator<=>(const Rank&) const = default;
+    };
+    using Queue = std::map<Rank, Job>;
+
+    std::string service;
+    bool keyed = false;
+    //! By owner for keyed services; jobs whose key is moving and jobs of unkeyed services have no owner.
+    std::map<std::string, Queue> queues;
+    std::uint64_t ownerVersion = 0;
+    double normalMicros = static_cast<double>(assumedTime.count());
+    RepeatBudget budget;
+
+    Pool(std::string name, const SchedulerTerms& terms)
+        : service(std::move(name))
+        , budget(terms.repeatWindow, terms.repeatRatio, terms.repeatSlack)
+    {
+    }
+
+    Duration normal() const { return Duration(static_cast<std::int64_t>(this->normalMicros)); }
+    static Rank rankOf(const Job& job) { return { job.priority, job.target, job.id }; }
+};
+
+Scheduler::Scheduler(SchedulerTerms schedulerTerms, const OwnerLookup& lookup)
+    : terms(schedulerTerms)
+    , owners(lookup)
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+Scheduler::Pool& Scheduler::poolOf(const std::string& service)
+{
+    auto& pool = this->pools[service];
+    if (!pool)
+        pool = std::make_unique<Pool>(service, this->terms);
+    return *pool;
+}
+
+void Scheduler::setServers(const fleet::ServerMap& servers, TimePoint now)
+{
+    std::erase_if(this->loads, [&](const auto& entry) { return !servers.contains(entry.first); });
+    for (const auto& [id, entry] : servers) {
+        auto [found, added] = this->loads.try_emplace(id, entry, now);
+        if (added)
+            continue;
+        if (found->second.entry().life != entry.life)
+            this->quarantine.crashed(id, now);
+        found->second.update(entry, now);
+    }
+}
+
+void Scheduler::setOthersInFlight(const std::map<std::string, unsigned>& counts)
+{
+    for (auto& [id, load] : this->loads) {
+        auto found = counts.find(id);
+        load.setOthersInFlight(found == counts.end() ? 0 : found->second);
+    }
+}
+
+std::string Scheduler::queueOf(const Job& job) const
+{
+    if (!job.key)
+        return anyServer;
+    auto owner = this->owners.ownerOf(job.service, *job.key);
+    return owner.ownership == Ownership::Owned ? owner.server : anyServer;
+}
+
+void Scheduler::requeueMoved(Pool& pool)
+{
+    if (!pool.keyed || pool.ownerVersion == this->owners.ownerVersion())
+        return;
+    pool.ownerVersion = this->owners.ownerVersion();
+    auto queues = std::move(pool.queues);
+    pool.queues.clear();
+    for (auto& [name, queue] : queues) {
+        for (auto& [rank, job] : queue)
+            pool.queues[this->queueOf(job)].emplace(rank, std::move(job));
+    }
+}
+
+std::optional<Refused> Scheduler::admissionRefusal(Pool& pool, const Job& job, TimePoint now)
+{
+    auto patience = std::max(Duration::zero(), job.deadline - now);
+    auto longestRetryAfter = Duration(static_cast<std::int64_t>(static_cast<double>(patience.count()) * callerPatience));
+    if (this->quarantine.isQuarantined(job.fingerprint))
+        return Refused { job.id, RefusalReason::Quarantined, longestRetryAfter };
+    if (job.attempt == 0)
+        pool.budget.noteRequest(now);
+    else if (!pool.budget.tryRepeat(now, this->terms.repeatShare))
+        return Refused { job.id, RefusalReason::RetryBudget, longestRetryAfter };
+    if (job.key) {
+        if (this->owners.ownerOf(job.service, *job.key).ownership == Ownership::Nobody)
+            return Refused { job.id, RefusalReason::NoOwner, longestRetryAfter };
+        return std::nullopt;
+    }
+    bool any = std::any_of(this->loads.begin(), this->loads.end(), [&](const auto& entry) {
+        return entry.second.entry().service == job.service && entry.second.entry().state == fleet::ServerState::Ready;
+    });
+    if (!any)
+        return Refused { job.id, RefusalReason::NoServer, longestRetryAfter };
+    return std::nullopt;
+}
+
+std::vector<Decision> Scheduler::submit(const Job& job, TimePoint now)
+{
+    std::vector<Decision> decisions;
+    auto& pool = this->poolOf(job.service);
+    pool.keyed = pool.keyed || job.key.has_value();
+    this->requeueMoved(pool);
+    if (auto refusal = this->admissionRefusal(pool, job, now)) {
+        decisions.emplace_back(*refusal);
+        return decisions;
+    }
+    auto name = this->queueOf(job);
+    auto& queue = pool.queues[name];
+    auto rank = Pool::rankOf(job);
+    auto position = queue.emplace(rank, job).first;
+    this->dispatchQueue(pool, name, now, decisions);
+    // The job is still waiting: refuses it at once when it cannot make its deadline.
+    position = queue.find(rank);
+    if (position != queue.end()) {
+        auto ahead = static_cast<std::size_t>(std::distance(queue.begin(), position));
+        if (auto refusal = this->waitRefusal(pool, name, job, ahead, now)) {
+            queue.erase(position);
+            decisions.emplace_back(*refusal);
+        }
+    }
+    return decisions;
+}
+
+void Scheduler::withdraw(JobId job)
+{
+    for (auto& [service, pool] : this->pools) {
+        for (auto& [name, queue] : pool->queues) {
+            if (std::erase_if(queue, [&](const auto& entry) { return entry.first.id == job; }) > 0)
+                return;
+        }
+    }
+}
+
+std::vector<Decision> Scheduler::ended(JobId job, JobResult result, Duration elapsed, TimePoint now)
+{
+    std::vector<Decision> decisions;
+    auto found = this->placements.find(job);
+    if (found == this->placements.end())
+        return decisions;
+    auto placement = std::move(found->second);
+    this->placements.erase(found);
+    auto& pool = this->poolOf(placement.service);
+    auto load = this->loads.find(placement.server);
+    if (load != this->loads.end()) {
+        if (result == JobResult::Answered) {
+            double normalized = static_cast<double>(elapsed.count());
+            pool.normalMicros += newestWeight * (normalized - pool.normalMicros);
+        }
+        load->second.ended(job, result, elapsed, pool.normal(), now);
+    }
+    if (result == JobResult::Lost)
+        this->quarantine.lost(placement.fingerprint, placement.server, now);
+    if (result == JobResult::ConnectFailed)
+        this->quarantine.crashed(placement.server, now);
+    this->dispatch(pool, now, decisions);
+    return decisions;
+}
+
+std::vector<Decision> Scheduler::tick(TimePoint now)
+{
+    std::vector<Decision> decisions;
+    for (auto& [service, pool] : this->pools)
+        this->dispatch(*pool, now, decisions);
+    if (now - this->lastSweep < sweepInterval)
+        return decisions;
+    this->lastSweep = now;
+    this->quarantine.forgetOld(now);
+    for (auto& [service, pool] : this->pools) {
+        for (auto& [name, queue] : pool->queues) {
+            std::size_t ahead = 0;
+            for (auto entry = queue.begin(); entry != queue.end();) {
+                auto refusal = this->waitRefusal(*pool, name, entry->second, ahead, now);
+                if (!refusal) {
+                    ++ahead;
+                    ++entry;
+                    continue;
+                }
+                decisions.emplace_back(*refusal);
+                entry = queue.erase(entry);
+            }
+        }
+    }
+    for (auto entry = this->placements.begin(); entry != this->placements.end();) {
+        auto next = std::next(entry);
+        if (now > entry->second.limit) {
+            auto load = this->loads.find(entry->second.server);
+            if (load != this->loads.end())
+                load->second.ended(entry->first, JobResult::Abandoned, {}, {}, now);
+            this->placements.erase(entry);
+        }
+        entry = next;
+    }
+    return decisions;
+}
+
+void Scheduler::forgetHost(std::uint64_t host)
+{
+    for (auto& [service, pool] : this->pools) {
+        for (auto& [name, queue] : pool->queues)
+            std::erase_if(queue, [&](const auto& entry) { return entry.first.id.host == host; });
+    }
+    for (auto entry = this->placements.begin(); entry != this->placements.end();) {
+        auto next = std::next(entry);
+        if (entry->first.host == host) {
+            auto load = this->loads.find(entry->second.server);
+            if (load != this->loads.end())
+                load->second.ended(entry->first, JobResult::Abandoned, {}, {}, TimePoint());
+            this->placements.erase(entry);
+        }
+        entry = next;
+    }
+}
+
+void Scheduler::dispatch(Pool& pool, TimePoint now, std::vector<Decision>& decisions)
+{
+    this->requeueMoved(pool);
+    for (auto& [name, queue] : pool.queues)
+        this->dispatchQueue(pool, name, now, decisions);
+}
+
+void Scheduler::dispatchQueue(
+    Pool& pool, const std::string& name, TimePoint now, std::vector<Decision>& decisions)
+{
+    auto& queue = pool.queues[name];
+    // Jobs that still make their target go first; late ones get what is left.
+    for (bool onTime : { true, false }) {
+        for (auto entry = queue.begin(); entry != queue.end();) {
+            const auto& job = entry->second;
+            if (onTime && now + pool.normal() > job.target) {
+                ++entry;
+                continue;
+            }
+            std::optional<std::string> server;
+            if (!pool.keyed)
+                server = this->chooseServer(pool, job, now);
+            else if (!name.empty()) {
+                auto load = this->loads.find(name);
+                if (load != this->loads.end() && load->second.hasRoom(extraOfKeyed, this->slotShare, now))
+                    server = name;
+            }
+            if (!server) {
+                // Another job may have tried fewer servers, but without room for one there is seldom room for the rest.
+                if (job.tried.empty())
+                    break;
+                ++entry;
+                continue;
+            }
+            this->place(pool, job, *server, now, decisions);
+            entry = queue.erase(entry);
+        }
+    }
+}
+
+std::optional<std::string> Scheduler::chooseServer(const Pool& pool, const Job& job, TimePoint now) const
+{
+    const std::string* best = nullptr;
+    double bestCost = 0;
+    double normal = pool.normalMicros;
+    for (const auto& [id, load] : this->loads) {
+        if (load.entry().service != pool.service || !load.hasRoom(extraOfUnkeyed, this->slotShare, now))
+            continue;
+        if (std::find(job.tried.begin(), job.tried.end(), id) != job.tried.end())
+            continue;
+        double busy = static_cast<double>(load.inFlight()) / load.entry().slots;
+        // Some servers slow down when they are nearly full.
+        double cost = load.slowness(pool.normal(), now) * (1 + 0.2 * busy) / std::max(0.05, 1 - load.failureShare(now));
+        // A slot of a slow server that would make the job late is worth less than waiting for another one.
+        double finish = normal * load.slowness(pool.normal(), now);
+        if (cost > slowCost && now + Duration(static_cast<std::int64_t>(finish)) > job.target)
+            continue;
+        if (!best || cost < bestCost) {
+            best = &id;
+            bestCost = cost;
+        }
+    }
+    return best ? std::optional(*best) : std::nullopt;
+}
+
+double Scheduler::capacity(const Pool& pool, const std::string& name, TimePoint now) const
+{
+    double slotsPerTime = 0;
+    for (const auto& [id, load] : this->loads) {
+        if (load.entry().service != pool.service || !load.isUsable(now))
+            continue;
+        if (pool.keyed && id != name)
+            continue;
+        slotsPerTime += load.entry().slots / load.slowness(pool.normal(), now);
+    }
+    return slotsPerTime;
+}
+
+std::optional<Refused> Scheduler::waitRefusal(
+    const Pool& pool, const std::string& name, const Job& job, std::size_t ahead, TimePoint now) const
+{
+    double normal = pool.normalMicros;
+    double slots = this->capacity(pool, name, now);
+    double wait = 0;
+    if (pool.keyed && name.empty())
+        wait = 0; // the key is moving; how long is not known
+    else if (slots <= 0)
+        wait = normal;
+    else
+        wait = normal * static_cast<double>(ahead + 1) / slots;
+    auto finish = now + Duration(static_cast<std::int64_t>(wait + normal * leastWorkLeft));
+    if (finish <= job.deadline)
+        return std::nullopt;
+    double patience = static_cast<double>(std::max(Duration::zero(), job.deadline - now).count()) * callerPatience;
+    double retryAfter = std::clamp(wait, static_cast<double>(shortestRetryAfter.count()),
+        std::max(patience, static_cast<double>(shortestRetryAfter.count())));
+    return Refused { job.id, RefusalReason::Overloaded, Duration(static_cast<std::int64_t>(retryAfter)) };
+}
+
+void Scheduler::place(
+    Pool& pool, const Job& job, const std::string& server, TimePoint now, std::vector<Decision>& decisions)
+{
+    this->loads.at(server).placed(job.id, now);
+    this->placements[job.id] = { server, pool.service, job.fingerprint, job.deadline + lostReportSlack };
+    decisions.emplace_back(Placed { job.id, server });
+}
+
+bool Scheduler::isWaiting(JobId job) const
+{
+    for (const auto& [service, pool] : this->pools) {
+        for (const auto& [name, queue] : pool->queues) {
+            if (std::any_of(queue.begin(), queue.end(), [&](const auto& entry) { return entry.first.id == job; }))
+                return true;
+        }
+    }
+    return false;
+}
+
+const std::string* Scheduler::placementOf(JobId job) const
+{
+    auto found = this->placements.find(job);
+    return found == this->placements.end() ? nullptr : &found->second.server;
+}
+
+unsigned Scheduler::inFlight(const std::string& server) const
+{
+    auto found = this->loads.find(server);
+    return found == this->loads.end() ? 0 : found->second.inFlight();
+}
+
+std::size_t Scheduler::waitingJobs() const
+{
+    std::size_t count = 0;
+    for (const auto& [service, pool] : this->pools) {
+        for (const auto& [name, queue] : pool->queues)
+            count += queue.size();
+    }
+    return count;
+}
+
+Duration Scheduler::normalTime(const std::string& service) const
+{
+    auto found = this->pools.find(service);
+    return found == this->pools.end() ? assumedTime : found->second->normal();
+}
+
+}
--- /dev/null
+++ b/libs/client/include/client/ConnectionPool.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "client/ClientConnection.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sequoia::client {
+
+//! Connections to several peers, kept for reuse.
+class ConnectionPool final : private ConnectionOwner {
+public:
+    ConnectionPool(net::Reactor& reactor, Duration idleLimit);
+    ~ConnectionPool() override;
+
+    ConnectionPool(const ConnectionPool&) = delete;
+    ConnectionPool& operator=(const ConnectionPool&) = delete;
+
+    //! An idle connection that was used within `maxIdle`, or a new one. `peer` distinguishes peers that use the same
+    //! address one after the other.
+    ClientConnection& acquire(const std::string& peer, const net::SocketAddress& address, Duration maxIdle);
+    //! Closes idle connections of a peer that is gone.
+    void forget(const std::string& peer);
+    //! Closes connections that were idle for too long; called about once a second.
+    void closeIdle();
+
+    std::uint64_t openedConnections() const { return this->opened; }
+    std::size_t size() const { return this->connections.size(); }
+
+private:
+    struct Entry {
+        std::string peer;
+        std::unique_ptr<ClientConnection> connection;
+        bool idle = false;
+    };
+
+    void onIdle(ClientConnection& connection, bool reusable) override;
+    void onIdleEnd(ClientConnection& connection) override;
+    void remove(ClientConnection& connection);
+    Duration idleLimitOf(const ClientConnection& connection) const;
+
+    net::Reactor& reactor;
+    Duration idleLimit;
+    std::map<const ClientConnection*, Entry> connections;
+    //! Most recently used last, so that the others can run out.
+    std::map<std::string, std::vector<ClientConnection*>> idle;
+    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
+    std::uint64_t opened = 0;
+};
+
+}
--- /dev/null
+++ b/libs/client/src/CallClient.cpp
@@ -0,0 +1,133 @@
+#include "client/CallClient.h"
+
+#include <algorithm>
+
+namespace sequoia::client {
+
+namespace {
+
+// Bodies of short calls are collected whole up to this size; a larger one is refused.
+constexpr std::size_t responseLimit = 8 * 1024 * 1024;
+
+std::string requestText(const std::string& address, const Call& call)
+{
+    std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + address + "\r\n";
+    if (!call.contentType.empty())
+        text += "Content-Type: " + call.contentType + "\r\n";
+    if (!call.body.empty() || call.method != "GET")
+        text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+    for (const auto& header : call.headers.all())
+        text += header.name + ": " + header.value + "\r\n";
+    return text + "\r\n" + call.body;
+}
+
+}
+
+class CallClient::Pending final : public ExchangeObserver {
+public:
+    Pending(CallClient& owner, std::string target, Callback done)
+        : client(owner)
+        , address(std::move(target))
+        , callback(std::move(done))
+    {
+    }
+
+    bool acceptsResponse(const http::Head&) override { return true; }
+
+    void onSending() override { this->sent = true; }
+
+    void onResponse(const http::Head& head, std::string_view bytes, bool complete) override
+    {
+        if (!complete) {
+            this->connection->abort();
+            this->connection = nullptr;
+            this->client.finish(*this, this->unknown("the response is larger than expected"));
+            return;
+        }
+        this->connection = nullptr;
+        this->client.finish(*this, CallResponse { head.status, head.headers, std::string(bytes) });
+    }
+
+    void onFailure(ExchangeFailure failure, const std::string& reason) override
+    {
+        this->connection = nullptr;
+        if (failure == ExchangeFailure::NotSent)
+            this->client.finish(*this, this->unavailable(reason));
+        else
+            this->client.finish(*this, this->unknown(reason));
+    }
+
+    void expire()
+    {
+        bool wasSent = this->sent;
+        if (this->connection)
+            this->connection->abort();
+        this->connection = nullptr;
+        this->client.finish(*this, wasSent ? this->unknown("no answer in time") : this->unavailable("no connection in time"));
+    }
+
+    ClientConnection* connection = nullptr;
+    net::Reactor::TimerId timer {};
+
+private:
+    Error unknown(const std::string& reason) const
+    {
+        return Error { ErrorKind::OutcomeUnknown, this->address + ": " + reason, "the call may have been carried out" };
+    }
+
+    Error unavailable(const std::string& reason) const
+    {
+        return Error { ErrorKind::Unavailable, this->address + ": " + reason, "check that the peer runs, or try again" };
+    }
+
+    CallClient& client;
+    std::string address;
+    bool sent = false;
+
+public:
+    Callback callback;
+};
+
+CallClient::CallClient(net::Reactor& owner, Duration idleLimit)
+    : reactor(owner)
+    , pool(owner, idleLimit)
+{
+}
+
+CallClient::~CallClient()
+{
+    for (auto& pending : this->pendingCalls)
+        this->reactor.cancel(pending->timer);
+}
+
+void CallClient::call(const std::string& address, const Call& call, Duration limit, Callback callback)
+{
+    auto parsed = net::SocketAddress::parse(address);
+    if (!succeeded(parsed)) {
+        auto error = errorOf(parsed);
+        this->reactor.defer([error, callback = std::move(callback)] { callback(error); });
+        return;
+    }
+    auto& pending = *this->pendingCalls.emplace_back(
+        std::make_unique<Pending>(*this, address, std::move(callback)));
+    pending.timer = this->reactor.scheduleAfter(limit, [&pending] { pending.expire(); });
+    pending.connection = &this->pool.acquire(address, valueOf(parsed), std::chrono::minutes(1));
+    pending.connection->start(requestText(address, call), call.method == "HEAD", responseLimit, pending);
+    if (pending.connection)
+        pending.connection->finishRequest();
+}
+
+void CallClient::finish(Pending& pending, Result<CallResponse> result)
+{
+    this->reactor.cancel(pending.timer);
+    auto found = std::find_if(this->pendingCalls.begin(), this->pendingCalls.end(),
+        [&](const auto& entry) { return entry.get() == &pending; });
+    auto callback = std::move(pending.callback);
+    // Kept until the callers on the stack have returned.
+    std::shared_ptr<Pending> ended = std::move(*found);
+    this->pendingCalls.erase(found);
+    this->reactor.defer([ended] {});
+    callback(std::move(result));
+}
+
+}
--- /dev/null
+++ b/libs/client/src/ConnectionPool.cpp
@@ -0,0 +1,112 @@
+#include "client/ConnectionPool.h"
+
+#include <algorithm>
+
+namespace sequoia::client {
+
+namespace {
+
+// An announced idle time is used up to this part, since the peer closes by its own clock.
+constexpr double usedPartOfKeepAlive = 0.7;
+
+}
+
+ConnectionPool::ConnectionPool(net::Reactor& owner, Duration limit)
+    : reactor(owner)
+    , idleLimit(limit)
+{
+}
+
+ConnectionPool::~ConnectionPool() = default;
+
+Duration ConnectionPool::idleLimitOf(const ClientConnection& connection) const
+{
+    auto announced = connection.announcedKeepAlive();
+    if (announced == Duration::zero())
+        return this->idleLimit;
+    auto used = Duration(static_cast<std::int64_t>(static_cast<double>(announced.count()) * usedPartOfKeepAlive));
+    return std::min(used, this->idleLimit);
+}
+
+ClientConnection& ConnectionPool::acquire(
+    const std::string& peer, const net::SocketAddress& address, Duration maxIdle)
+{
+    auto now = this->reactor.now();
+    auto& list = this->idle[peer];
+    while (!list.empty()) {
+        auto* connection = list.back();
+        auto age = now - connection->idleSince();
+        if (age > maxIdle)
+            break;
+        list.pop_back();
+        if (age < this->idleLimitOf(*connection) && connection->isUsable()) {
+            this->connections.at(connection).idle = false;
+            return *connection;
+        }
+        this->remove(*connection);
+    }
+    ++this->opened;
+    ConnectionOwner& self = *this;
+    auto created = std::make_unique<ClientConnection>(this->reactor, address, self);
+    auto& connection = *created;
+    this->connections[&connection] = { peer, std::move(created), false };
+    return connection;
+}
+
+void ConnectionPool::forget(const std::string& peer)
+{
+    auto found = this->idle.find(peer);
+    if (found == this->idle.end())
+        return;
+    for (auto* connection : found->second)
+        this->remove(*connection);
+    this->idle.erase(found);
+}
+
+void ConnectionPool::closeIdle()
+{
+    auto now = this->reactor.now();
+    for (auto& [peer, list] : this->idle) {
+        auto expired = std::stable_partition(list.begin(), list.end(), [&](const ClientConnection* connection) {
+            return now - connection->idleSince() < this->idleLimitOf(*connection);
+        });
+        for (auto entry = expired; entry != list.end(); ++entry)
+            this->remove(**entry);
+        list.erase(expired, list.end());
+    }
+}
+
+void ConnectionPool::onIdle(ClientConnection& connection, bool reusable)
+{
+    auto found = this->connections.find(&connection);
+    if (found == this->connections.end())
+        return;
+    if (!reusable) {
+        this->remove(connection);
+        return;
+    }
+    found->second.idle = true;
+    this->idle[found->second.peer].push_back(&connection);
+}
+
+void ConnectionPool::onIdleEnd(ClientConnection& connection)
+{
+    auto found = this->connections.find(&connection);
+    if (found == this->connections.end())
+        return;
+    std::erase(this->idle[found->second.peer], &connection);
+    this->remove(connection);
+}
+
+void ConnectionPool::remove(ClientConnection& connection)
+{
+    auto found = this->connections.find(&connection);
+    if (found == this->connections.end())
+        return;
+    // Deferred, since the connection may be in the middle of a callback.
+    std::shared_ptr<ClientConnection> ended = std::move(found->second.connection);
+    this->connections.erase(found);
+    this->reactor.defer([ended] {});
+}
+
+}
--- /dev/null
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "balance/Scheduler.h"
+#include "core/Random.h"
+#include "fleet/Configuration.h"
+#include "keyspace/GrantKeeper.h"
+
+#include <map>
+#include <memory>
+#include <peer.pb.h>
+#include <string>
+#include <vector>
+
+namespace sequoia::coordination {
+
+//! A datagram for a host.
+struct Outgoing {
+    std::string address;
+    wire::Datagram datagram;
+};
+
+//! What the coordinator does during one tenure: it owns the grants of all keyed services, and places the jobs of all
+//! hosts, so that waiting, order and refusal are decided in one place with exact numbers. Pure.
+class Coordinator final : private balance::OwnerLookup {
+public:
+    Coordinator(const Clock& clock, std::uint64_t term, balance::SchedulerTerms scheduling,
+        keyspace::GrantTerms grants);
+    ~Coordinator() override;
+
+    //! The plans that are stored; once, before anything is placed.
+    void start(std::vector<keyspace::KeyPlan> stored);
+    bool isStarted() const { return this->started; }
+    void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
+    void setServers(const fleet::ServerMap& servers);
+
+    //! Messages of a host, and the answers to it and to others.
+    std::vector<Outgoing> receive(const wire::Datagram& datagram, const std::string& address);
+    std::vector<Outgoing> tick();
+    std::vector<Outgoing> beacons(bool resigned);
+
+    //! Plans to be written, orders to be sent and events to be logged since the last call.
+    std::vector<keyspace::KeyPlan> takeWrites();
+    std::vector<keyspace::Order> takeOrders();
+    std::vector<keyspace::KeyEvent> takeEvents();
+    void planWritten(const std::string& service, std::uint64_t sequence);
+    void orderAnswered(const keyspace::Order& order, const keyspace::OrderAnswer& answer);
+    bool isSuperseded() const;
+
+    std::uint64_t term() const { return this->currentTerm; }
+    std::size_t hostCount() const { return this->hosts.size(); }
+    std::size_t waitingJobs() const { return this->scheduler.waitingJobs(); }
+    //! A report showed that another host reaches the store; cleared by the call.
+    bool takePeerReachesStore();
+
+private:
+    struct Host {
+        std::string address;
+        std::uint64_t number = 0;
+        TimePoint lastReport {};
+        std::map<std::string, unsigned> ownPlacements; //!< in flight without this coordinator's knowledge
+        std::map<std::string, std::uint64_t> planSequences;
+    };
+    struct KeyedService {
+        std::unique_ptr<keyspace::GrantKeeper> keeper;
+        keyspace::KeyLoad load;
+        std::uint64_t publishedVersion = 0;
+    };
+
+    balance::Owner ownerOf(std::string_view service, fleet::Key key) const override;
+    std::uint64_t ownerVersion() const override;
+
+    Host& hostOf(const std::string& incarnation, const std::string& address);
+    void applyReport(Host& host, const wire::Report& report);
+    void submit(Host& host, const wire::Submit& message);
+    void collect(const std::vector<balance::Decision>& decisions);
+    wire::Datagram& answerTo(const std::string& address);
+    std::vector<Outgoing> takeAnswers();
+    void updateCapacities();
+    void tickKeepers();
+    void dropSilentHosts();
+
+    const Clock& clock;
+    std::uint64_t currentTerm;
+    keyspace::GrantTerms grantTerms;
+    balance::Scheduler scheduler;
+    bool started = false;
+    std::map<std::string, keyspace::KeyPlan> storedPlans;
+    std::shared_ptr<const fleet::Configuration> configuration;
+    fleet::ServerMap servers;
+    std::map<std::string, KeyedService, std::less<>> keyed;
+    std::map<std::string, Host> hosts; //!< by incarnation
+    std::map<std::uint64_t, std::string> addressOfHost;
+    std::map<std::string, wire::Datagram> answers; //!< by address
+    std::vector<keyspace::KeyPlan> writes;
+    std::vector<keyspace::Order> orders;
+    std::vector<keyspace::KeyEvent> events;
+    std::uint64_t lastHost = 0;
+    bool peerReachesStore = false;
+    TimePoint lastLoadUpdate {};
+};
+
+}
--- /dev/null
+++ b/libs/coordination/include/coordination/JobMessages.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "balance/Job.h"
+
+#include <peer.pb.h>
+
+namespace sequoia::coordination {
+
+//! Times are sent as what is left of them, since the clocks of hosts are not comparable.
+void fillSubmit(const balance::Job& job, TimePoint now, wire::Submit& message);
+balance::Job jobOf(const wire::Submit& message, std::uint64_t host, TimePoint now);
+
+}
--- /dev/null
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "balance/Scheduler.h"
+#include "coordination/PlanCopy.h"
+#include "edge/Placer.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <peer.pb.h>
+#include <string>
+
+namespace sequoia::coordination {
+
+//! Asks the coordinator where jobs run. While it does not answer, decides alone with the last plan known.
+//!
+//! Messages may be lost: a job without an answer is submitted again under its number, and ends are repeated in the
+//! datagrams that follow.
+class PlacementClient final : public edge::Placer {
+public:
+    //! Hands out the messages collected by takeMessages(), soon.
+    using Wake = std::function<void()>;
+
+    PlacementClient(const Clock& clock, balance::SchedulerTerms terms, Wake wake);
+    ~PlacementClient() override;
+
+    void submit(const balance::Job& job, edge::PlacementObserver& observer) override;
+    void withdraw(std::uint64_t job) override;
+    void ended(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
+
+    void setServers(const fleet::ServerMap& servers);
+    //! Whether a coordinator is known and answers; changes how new jobs are placed.
+    void coordinatorHeard();
+    void coordinatorLost();
+    //! What a datagram of the coordinator says about jobs and loads.
+    void receive(const wire::Datagram& datagram);
+    void tick();
+
+    //! Moves the messages for the coordinator into the datagram; whether there are any.
+    bool takeMessages(wire::Datagram& datagram);
+    //! The periodic report.
+    void fillReport(wire::Report& report) const;
+
+    PlanCopy& plans() { return this->planCopy; }
+    std::size_t waitingJobs() const { return this->pending.size(); }
+    bool usesCoordinator() const { return this->remote; }
+
+private:
+    struct Pending {
+        balance::Job job;
+        edge::PlacementObserver* observer = nullptr;
+        bool remote = false;
+        bool acknowledged = false;
+        TimePoint lastSent {};
+    };
+
+    void sendSubmit(Pending& entry);
+    void submitLocally(std::uint64_t number);
+    void apply(const std::vector<balance::Decision>& decisions);
+    void placed(std::uint64_t number, const std::string& server, bool byCoordinator);
+    void refused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter);
+    void queueEnd(std::uint64_t number, balance::JobResult result, Duration elapsed);
+
+    const Clock& clock;
+    Wake wake;
+    PlanCopy planCopy;
+    balance::Scheduler scheduler;
+    fleet::ServerMap servers;
+    bool remote = false;
+    TimePoint lastHeard {};
+    std::map<std::uint64_t, Pending> pending;
+    //! Placed jobs, and whether the coordinator placed them.
+    std::map<std::uint64_t, bool> placedJobs;
+    wire::Datagram outgoing;
+    bool hasOutgoing = false;
+    TimePoint lastTaken {};
+    //! Ends that are repeated for some time, with the time of their first sending.
+    std::deque<std::pair<TimePoint, wire::JobEnd>> recentEnds;
+};
+
+}
--- /dev/null
+++ b/libs/coordination/include/coordination/PlanCopy.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "balance/OwnerLookup.h"
+#include "keyspace/KeyPlan.h"
+
+#include <map>
+#include <string>
+
+namespace sequoia::coordination {
+
+//! The owners of keys as the coordinator told them last. Used while the coordinator does not answer.
+class PlanCopy final : public balance::OwnerLookup {
+public:
+    //! Ignores a plan that is older than the one known.
+    void update(keyspace::KeyPlan plan);
+    std::uint64_t sequenceOf(const std::string& service) const;
+
+    balance::Owner ownerOf(std::string_view service, fleet::Key key) const override;
+    std::uint64_t ownerVersion() const override { return this->version; }
+    const std::map<std::string, keyspace::KeyPlan, std::less<>>& plans() const { return this->byService; }
+
+private:
+    std::map<std::string, keyspace::KeyPlan, std::less<>> byService;
+    std::uint64_t version = 0;
+};
+
+}
--- /dev/null
+++ b/libs/coordination/src/Coordinator.cpp
@@ -0,0 +1,314 @@
+#include "coordination/Coordinator.h"
+
+#include "coordination/JobMessages.h"
+
+#include <algorithm>
+
+namespace sequoia::coordination {
+
+namespace {
+
+// A host that has not reported for this long is gone; several reports long.
+constexpr Duration hostSilence = std::chrono::milliseconds(1500);
+// Load of keys is brought up to date at this interval.
+constexpr Duration loadInterval = std::chrono::milliseconds(250);
+// A host that reached the store within this time reaches it.
+constexpr std::int64_t reachesStoreMillis = 1000;
+
+}
+
+Coordinator::Coordinator(const Clock& source, std::uint64_t term, balance::SchedulerTerms scheduling,
+    keyspace::GrantTerms grants)
+    : clock(source)
+    , currentTerm(term)
+    , grantTerms(grants)
+    , scheduler(scheduling, *this)
+{
+}
+
+Coordinator::~Coordinator() = default;
+
+void Coordinator::start(std::vector<keyspace::KeyPlan> stored)
+{
+    for (auto& plan : stored)
+        this->storedPlans[plan.service] = std::move(plan);
+    this->started = true;
+}
+
+void Coordinator::setConfiguration(std::shared_ptr<const fleet::Configuration> current)
+{
+    this->configuration = std::move(current);
+}
+
+void Coordinator::setServers(const fleet::ServerMap& listed)
+{
+    this->servers = listed;
+    this->scheduler.setServers(listed, this->clock.now());
+    for (auto& [service, entry] : this->keyed) {
+        fleet::ServerMap own;
+        for (const auto& [id, server] : listed) {
+            if (server.service == service)
+                own.emplace(id, server);
+        }
+        entry.keeper->setServers(own);
+    }
+}
+
+balance::Owner Coordinator::ownerOf(std::string_view service, fleet::Key key) const
+{
+    auto found = this->keyed.find(service);
+    if (found == this->keyed.end())
+        return { balance::Ownership::Moving, {} };
+    return found->second.keeper->ownerOf(key, this->clock.now());
+}
+
+std::uint64_t Coordinator::ownerVersion() const
+{
+    std::uint64_t version = 1;
+    for (const auto& [service, entry] : this->keyed)
+        version += entry.keeper->version();
+    return version;
+}
+
+Coordinator::Host& Coordinator::hostOf(const std::string& incarnation, const std::string& address)
+{
+    auto& host = this->hosts[incarnation];
+    if (host.number == 0) {
+        host.number = ++this->lastHost;
+        this->addressOfHost[host.number] = address;
+    }
+    host.address = address;
+    host.lastReport = this->clock.now();
+    return host;
+}
+
+wire::Datagram& Coordinator::answerTo(const std::string& address)
+{
+    return this->answers[address];
+}
+
+std::vector<Outgoing> Coordinator::takeAnswers()
+{
+    std::vector<Outgoing> result;
+    for (auto& [address, datagram] : this->answers)
+        result.push_back({ address, std::move(datagram) });
+    this->answers.clear();
+    return result;
+}
+
+std::vector<Outgoing> Coordinator::receive(const wire::Datagram& datagram, const std::string& address)
+{
+    if (!this->started)
+        return {};
+    auto now = this->clock.now();
+    auto& host = this->hostOf(datagram.sender(), address);
+    if (datagram.has_report())
+        this->applyReport(host, datagram.report());
+    for (const auto& end : datagram.ends())
+        this->collect(this->scheduler.ended({ host.number, end.job() }, static_cast<balance::JobResult>(end.result()),
+            Duration(static_cast<std::int64_t>(end.elapsed_us())), now));
+    for (const auto& withdrawal : datagram.withdrawals()) {
+        balance::JobId id { host.number, withdrawal.job() };
+        this->scheduler.withdraw(id);
+        this->collect(this->scheduler.ended(id, balance::JobResult::Abandoned, {}, now));
+    }
+    for (const auto& message : datagram.submits())
+        this->submit(host, message);
+    return this->takeAnswers();
+}
+
+void Coordinator::submit(Host& host, const wire::Submit& message)
+{
+    auto now = this->clock.now();
+    balance::JobId id { host.number, message.job() };
+    if (const auto* server = this->scheduler.placementOf(id)) {
+        // The answer was lost.
+        auto* placement = this->answerTo(host.address).add_placements();
+        placement->set_job(message.job());
+        placement->set_server(*server);
+        return;
+    }
+    if (this->scheduler.isWaiting(id)) {
+        this->answerTo(host.address).add_queued()->set_job(message.job());
+        return;
+    }
+    auto job = jobOf(message, host.number, now);
+    if (job.key) {
+        auto keyedService = this->keyed.find(job.service);
+        if (keyedService != this->keyed.end())
+            keyedService->second.load.note(*job.key);
+    }
+    this->collect(this->scheduler.submit(job, now));
+    if (this->scheduler.isWaiting(id))
+        this->answerTo(host.address).add_queued()->set_job(message.job());
+}
+
+void Coordinator::collect(const std::vector<balance::Decision>& decisions)
+{
+    for (const auto& decision : decisions) {
+        auto host = std::visit([](const auto& value) { return value.job.host; }, decision);
+        auto address = this->addressOfHost.find(host);
+        if (address == this->addressOfHost.end())
+            continue;
+        auto& answer = this->answerTo(address->second);
+        if (const auto* placement = std::get_if<balance::Placed>(&decision)) {
+            auto* message = answer.add_placements();
+            message->set_job(placement->job.number);
+            message->set_server(placement->server);
+        } else if (const auto* refusal = std::get_if<balance::Refused>(&decision)) {
+            auto* message = answer.add_refusals();
+            message->set_job(refusal->job.number);
+            message->set_reason(static_cast<std::uint32_t>(refusal->reason));
+            message->set_retry_after_ms(static_cast<std::uint64_t>(toMillis(refusal->retryAfter)));
+        }
+    }
+}
+
+void Coordinator::applyReport(Host& host, const wire::Report& report)
+{
+    host.ownPlacements.clear();
+    for (const auto& load : report.loads())
+        host.ownPlacements[load.server()] += load.in_flight();
+    host.planSequences.clear();
+    for (int i = 0; i < report.plan_services_size() && i < report.plan_sequences_size(); ++i)
+        host.planSequences[report.plan_services(i)] = report.plan_sequences(i);
+    if (report.store_contact_age_ms() < reachesStoreMillis)
+        this->peerReachesStore = true;
+    std::map<std::string, unsigned> others;
+    for (const auto& [incarnation, entry] : this->hosts) {
+        for (const auto& [server, count] : entry.ownPlacements)
+            others[server] += count;
+    }
+    this->scheduler.setOthersInFlight(others);
+}
+
+bool Coordinator::takePeerReachesStore()
+{
+    return std::exchange(this->peerReachesStore, false);
+}
+
+std::vector<Outgoing> Coordinator::tick()
+{
+    if (!this->started)
+        return {};
+    this->dropSilentHosts();
+    this->tickKeepers();
+    this->collect(this->scheduler.tick(this->clock.now()));
+    return this->takeAnswers();
+}
+
+void Coordinator::dropSilentHosts()
+{
+    auto now = this->clock.now();
+    for (auto entry = this->hosts.begin(); entry != this->hosts.end();) {
+        auto next = std::next(entry);
+        if (now - entry->second.lastReport > hostSilence) {
+            this->scheduler.forgetHost(entry->second.number);
+            this->addressOfHost.erase(entry->second.number);
+            this->hosts.erase(entry);
+        }
+        entry = next;
+    }
+}
+
+void Coordinator::updateCapacities()
+{
+    auto now = this->clock.now();
+    for (auto& [service, entry] : this->keyed) {
+        entry.load.advance(now);
+        keyspace::Capacities capacities;
+        auto normal = this->scheduler.normalTime(service);
+        double perSlot = 1e6 / std::max(1.0, static_cast<double>(normal.count()));
+        for (const auto& [id, load] : this->scheduler.servers()) {
+            if (load.entry().service != service || load.entry().state != fleet::ServerState::Ready)
+                continue;
+            capacities[load.entry().life] = load.entry().slots * perSlot / load.slowness(normal, now);
+        }
+        entry.keeper->setCapacities(capacities);
+    }
+}
+
+void Coordinator::tickKeepers()
+{
+    if (!this->configuration || this->servers.empty())
+        return;
+    auto now = this->clock.now();
+    bool added = false;
+    for (const auto& [name, traits] : this->configuration->services) {
+        if (!traits.keyed || this->keyed.contains(name))
+            continue;
+        auto stored = this->storedPlans.find(name);
+        auto plan = stored == this->storedPlans.end() ? keyspace::KeyPlan::unowned(name) : stored->second;
+        this->keyed[name].keeper
+            = std::make_unique<keyspace::GrantKeeper>(std::move(plan), this->currentTerm, this->grantTerms, now);
+        added = true;
+    }
+    if (added)
+        this->setServers(fleet::ServerMap(this->servers));
+    if (added || now - this->lastLoadUpdate >= loadInterval) {
+        this->lastLoadUpdate = now;
+        this->updateCapacities();
+    }
+    for (auto& [service, entry] : this->keyed) {
+        auto outputs = entry.keeper->tick(entry.load, now);
+        if (outputs.write)
+            this->writes.push_back(std::move(*outputs.write));
+        std::move(outputs.orders.begin(), outputs.orders.end(), std::back_inserter(this->orders));
+        std::move(outputs.events.begin(), outputs.events.end(), std::back_inserter(this->events));
+    }
+}
+
+std::vector<Outgoing> Coordinator::beacons(bool resigned)
+{
+    std::vector<Outgoing> result;
+    for (auto& [incarnation, host] : this->hosts) {
+        Outgoing outgoing { host.address, {} };
+        auto* beacon = outgoing.datagram.mutable_beacon();
+        beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
+        beacon->set_resigned(resigned);
+        for (const auto& [service, entry] : this->keyed) {
+            auto known = host.planSequences.find(service);
+            if (known == host.planSequences.end() || known->second != entry.keeper->plan().sequence)
+                *beacon->add_plans() = entry.keeper->plan().toWire();
+        }
+        result.push_back(std::move(outgoing));
+    }
+    return result;
+}
+
+std::vector<keyspace::KeyPlan> Coordinator::takeWrites()
+{
+    return std::exchange(this->writes, {});
+}
+
+std::vector<keyspace::Order> Coordinator::takeOrders()
+{
+    return std::exchange(this->orders, {});
+}
+
+std::vector<keyspace::KeyEvent> Coordinator::takeEvents()
+{
+    return std::exchange(this->events, {});
+}
+
+void Coordinator::planWritten(const std::string& service, std::uint64_t sequence)
+{
+    auto found = this->keyed.find(service);
+    if (found != this->keyed.end())
+        found->second.keeper->written(sequence, this->clock.now());
+}
+
+void Coordinator::orderAnswered(const keyspace::Order& order, const keyspace::OrderAnswer& answer)
+{
+    auto found = this->keyed.find(order.service);
+    if (found != this->keyed.end())
+        found->second.keeper->answered(order.id, answer, this->clock.now());
+}
+
+bool Coordinator::isSuperseded() const
+{
+    return std::any_of(this->keyed.begin(), this->keyed.end(),
+        [](const auto& entry) { return entry.second.keeper->isSuperseded(); });
+}
+
+}
--- /dev/null
+++ b/libs/coordination/src/JobMessages.cpp
@@ -0,0 +1,38 @@
+#include "coordination/JobMessages.h"
+
+namespace sequoia::coordination {
+
+void fillSubmit(const balance::Job& job, TimePoint now, wire::Submit& message)
+{
+    message.set_job(job.id.number);
+    message.set_service(job.service);
+    message.set_keyed(job.key.has_value());
+    message.set_key(job.key.value_or(0));
+    message.set_priority(job.priority);
+    message.set_target_left_ms(toMillis(job.target - now));
+    message.set_deadline_left_ms(toMillis(job.deadline - now));
+    message.set_attempt(job.attempt);
+    message.set_max_attempts(job.maxAttempts);
+    message.set_fingerprint(job.fingerprint);
+    for (const auto& server : job.tried)
+        message.add_tried(server);
+}
+
+balance::Job jobOf(const wire::Submit& message, std::uint64_t host, TimePoint now)
+{
+    balance::Job job;
+    job.id = { host, message.job() };
+    job.service = message.service();
+    if (message.keyed())
+        job.key = static_cast<fleet::Key>(message.key());
+    job.priority = message.priority();
+    job.target = now + fromMillis(message.target_left_ms());
+    job.deadline = now + fromMillis(message.deadline_left_ms());
+    job.attempt = message.attempt();
+    job.maxAttempts = message.max_attempts();
+    job.fingerprint = message.fingerprint();
+    job.tried.assign(message.tried().begin(), message.tried().end());
+    return job;
+}
+
+}
--- /dev/null
+++ b/libs/coordination/src/PlanCopy.cpp
@@ -0,0 +1,34 @@
+#include "coordination/PlanCopy.h"
+
+namespace sequoia::coordination {
+
+void PlanCopy::update(keyspace::KeyPlan plan)
+{
+    auto found = this->byService.find(plan.service);
+    if (found != this->byService.end()
+        && std::pair(plan.term, plan.sequence) < std::pair(found->second.term, found->second.sequence))
+        return;
+    ++this->version;
+    this->byService[plan.service] = std::move(plan);
+}
+
+std::uint64_t PlanCopy::sequenceOf(const std::string& service) const
+{
+    auto found = this->byService.find(service);
+    return found == this->byService.end() ? 0 : found->second.sequence;
+}
+
+balance::Owner PlanCopy::ownerOf(std::string_view service, fleet::Key key) const
+{
+    auto found = this->byService.find(service);
+    if (found == this->byService.end())
+        return { balance::Ownership::Nobody, {} };
+    const auto& range = found->second.ranges[found->second.find(key)];
+    if (range.successor)
+        return { balance::Ownership::Moving, {} };
+    if (range.owner.id.empty())
+        return { balance::Ownership::Nobody, {} };
+    return { balance::Ownership::Owned, range.owner.id };
+}
+
+}
--- /dev/null
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "client/ConnectionPool.h"
+#include "edge/Counters.h"
+#include "edge/HeaderNames.h"
+#include "edge/Placer.h"
+#include "fleet/Configuration.h"
+#include "net/TcpListener.h"
+#include "timeline/EventLog.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sequoia::edge {
+
+class CallerConnection;
+class TrafficSplit;
+
+//! What the requests of a process share.
+struct EdgeContext {
+    net::Reactor& reactor;
+    timeline::EventLog& events;
+    const HeaderNames& names;
+    Placer& placer;
+    client::ConnectionPool& backends;
+    Counters& counters;
+    TrafficSplit& split;
+    //! Null until the first configuration is known.
+    std::shared_ptr<const fleet::Configuration> configuration;
+    bool stopping = false;
+    std::uint64_t lastJob = 0;
+    //! Longest deadline that callers sent on each route; a shorter one tells how long the caller has waited.
+    std::map<std::string, Duration> longestDeadline;
+};
+
+//! Serves callers.
+class EdgeServer {
+public:
+    EdgeServer(net::Reactor& reactor, timeline::EventLog& events, HeaderNames names, Placer& placer);
+    ~EdgeServer();
+
+    Result<Done> listen(const net::SocketAddress& address);
+    net::SocketAddress address() const;
+    void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
+    //! A backend server is gone; its idle connections are closed.
+    void forgetServer(const std::string& id);
+    //! Closes idle connections to backend servers that are too old; called about once a second.
+    void closeIdleBackends() { this->backends.closeIdle(); }
+
+    //! From now on, answers close their connections.
+    void startStopping();
+    //! Closes connections without a request; returns how many connections are left.
+    std::size_t closeIdleConnections();
+
+    const Counters& counters() const { return this->totals; }
+    std::uint64_t openedBackendConnections() const { return this->backends.openedConnections(); }
+    std::size_t connectionCount() const { return this->connections.size(); }
+
+private:
+    void accept(int descriptor);
+
+    net::Reactor& reactor;
+    HeaderNames names;
+    Counters totals;
+    client::ConnectionPool backends;
+    std::unique_ptr<TrafficSplit> split;
+    EdgeContext context;
+    std::unique_ptr<net::TcpListener> listener;
+    std::map<CallerConnection*, std::unique_ptr<CallerConnection>> connections;
+};
+
+}
--- /dev/null
+++ b/libs/edge/include/edge/Placer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "balance/Job.h"
+#include "fleet/ServerEntry.h"
+
+#include <cstdint>
+#include <string>
+
+namespace sequoia::edge {
+
+//! Told where a job runs.
+class PlacementObserver {
+public:
+    virtual ~PlacementObserver() = default;
+    virtual void onPlaced(std::uint64_t job, const fleet::ServerEntry& server) = 0;
+    virtual void onRefused(std::uint64_t job, balance::RefusalReason reason, Duration retryAfter) = 0;
+};
+
+//! Finds a backend server for each job. Answers arrive through the observer, also from within submit().
+class Placer {
+public:
+    virtual ~Placer() = default;
+    virtual void submit(const balance::Job& job, PlacementObserver& observer) = 0;
+    //! Takes back a job that is not placed yet.
+    virtual void withdraw(std::uint64_t job) = 0;
+    //! Reports the end of a placed job.
+    virtual void ended(std::uint64_t job, balance::JobResult result, Duration elapsed) = 0;
+};
+
+}
--- /dev/null
+++ b/libs/edge/src/EdgeServer.cpp
@@ -0,0 +1,86 @@
+#include "edge/EdgeServer.h"
+
+#include "CallerConnection.h"
+#include "edge/TrafficSplit.h"
+
+namespace sequoia::edge {
+
+namespace {
+
+// Idle connections to backend servers that do not announce how long they keep them.
+constexpr Duration backendIdleLimit = std::chrono::seconds(8);
+
+}
+
+EdgeServer::EdgeServer(
+    net::Reactor& owner, timeline::EventLog& events, HeaderNames headerNames, Placer& placer)
+    : reactor(owner)
+    , names(std::move(headerNames))
+    , backends(owner, backendIdleLimit)
+    , split(std::make_unique<TrafficSplit>())
+    , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0, {} }
+{
+}
+
+EdgeServer::~EdgeServer() = default;
+
+Result<Done> EdgeServer::listen(const net::SocketAddress& address)
+{
+    auto listening
+        = net::TcpListener::listen(this->reactor, address, [this](int descriptor) { this->accept(descriptor); });
+    if (!succeeded(listening))
+        return errorOf(listening);
+    this->listener = std::move(valueOf(listening));
+    return Done {};
+}
+
+net::SocketAddress EdgeServer::address() const
+{
+    return this->listener->address();
+}
+
+void EdgeServer::setConfiguration(std::shared_ptr<const fleet::Configuration> configuration)
+{
+    this->context.configuration = std::move(configuration);
+    this->split->clear();
+}
+
+void EdgeServer::forgetServer(const std::string& id)
+{
+    this->backends.forget(id);
+}
+
+void EdgeServer::accept(int descriptor)
+{
+    ++this->totals.connections;
+    auto connection
+        = std::make_unique<CallerConnection>(this->context, descriptor, [this](CallerConnection& endedConnection) {
+              auto found = this->connections.find(&endedConnection);
+              if (found == this->connections.end())
+                  return;
+              // Deferred, since the connection may be in the middle of a callback.
+              std::shared_ptr<CallerConnection> removed = std::move(found->second);
+              this->connections.erase(found);
+              this->reactor.defer([removed] {});
+          });
+    auto* key = connection.get();
+    this->connections[key] = std::move(connection);
+}
+
+void EdgeServer::startStopping()
+{
+    this->context.stopping = true;
+}
+
+std::size_t EdgeServer::closeIdleConnections()
+{
+    for (auto entry = this->connections.begin(); entry != this->connections.end();) {
+        auto next = std::next(entry);
+        if (entry->first->isIdle())
+            entry->first->closeGracefully();
+        entry = next;
+    }
+    return this->connections.size();
+}
+
+}
--- /dev/null
+++ b/libs/edge/src/Exchange.cpp
@@ -0,0 +1,459 @@
+#include "Exchange.h"
+
+#include "edge/TrafficSplit.h"
+
+#include <algorithm>
+#include <charconv>
+#include <xxhash.h>
+
+namespace sequoia::edge {
+
+namespace {
+
+// The final answer leaves this long before the caller's deadline, so that it arrives in time.
+constexpr Duration answerMargin = std::chrono::milliseconds(25);
+// Deadline of a request that names none.
+constexpr Duration defaultDeadline = std::chrono::seconds(10);
+constexpr Duration longestDeadline = std::chrono::minutes(10);
+// Bodies up to this size are kept and can be sent again; larger ones are streamed.
+constexpr std::size_t replayLimit = 512 * 1024;
+// A placement is asked for when this much of the body has arrived, so that a slow caller holds no slot.
+constexpr std::size_t placeAtBody = 256 * 1024;
+// Unsent bytes towards the backend server or the caller beyond which reading stops.
+constexpr std::size_t unsentLimit = 256 * 1024;
+// Responses up to this size are passed on only when they are complete.
+constexpr std::size_t responseBuffer = 256 * 1024;
+// A connection that was idle for longer may have been dropped by the server, and what is sent on it is lost. A request
+// that must not run twice could then not be sent again.
+constexpr Duration idleForRepeatable = std::chrono::seconds(8);
+constexpr Duration idleForOthers = std::chrono::seconds(4);
+
+template <typename T> std::optional<T> parseNumber(const std::string& text)
+{
+    T value = 0;
+    auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (status != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+std::string_view pathOf(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string_view hostOf(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+}
+
+Exchange::Exchange(EdgeContext& edgeContext, ResponseSink& responseSink, const http::Head& requestHead)
+    : context(edgeContext)
+    , sink(responseSink)
+    , head(requestHead)
+    , arrived(edgeContext.reactor.now())
+    , configuration(edgeContext.configuration)
+{
+}
+
+Exchange::~Exchange()
+{
+    if (!this->finished)
+        this->abandon();
+}
+
+void Exchange::start()
+{
+    ++this->context.counters.requests;
+    if (!this->checkHead() || !this->chooseTarget())
+        return;
+    this->timer = this->context.reactor.schedule(this->limits.deadline, [this] {
+        this->timer.reset();
+        this->onTimeLimit();
+    });
+}
+
+bool Exchange::checkHead()
+{
+    const auto* id = this->head.headers.find(this->context.names.requestId);
+    if (!id || id->empty() || this->head.headers.count(this->context.names.requestId) != 1) {
+        this->answerOwn(400, {}, "the request id header is missing or given twice");
+        return false;
+    }
+    this->requestId = *id;
+    if (!this->configuration) {
+        this->answerOwn(503, std::chrono::milliseconds(500), "no configuration is known yet");
+        return false;
+    }
+    if (this->head.framing == http::Framing::Length && this->head.length > this->configuration->limits.maxBodyBytes) {
+        this->answerOwn(413, {}, "the body is longer than the limit");
+        return false;
+    }
+    return true;
+}
+
+bool Exchange::chooseTarget()
+{
+    const auto* host = this->head.headers.find("Host");
+    if (host)
+        this->route = this->configuration->match(hostOf(*host), pathOf(this->head.target));
+    if (!this->route) {
+        this->answerOwn(404, {}, "no route matches host and path");
+        return false;
+    }
+    this->service = this->context.split.next(*this->route);
+    const auto* traits = this->configuration->service(this->service);
+    if (traits && traits->keyed) {
+        const auto* text = this->head.headers.find(this->context.names.key);
+        this->key = text ? parseNumber<fleet::Key>(*text) : std::nullopt;
+        if (!this->key) {
+            this->answerOwn(400, {}, "the key header is missing or not a number from 0 to 65535");
+            return false;
+        }
+    }
+    this->limits = this->readLimits(*this->route);
+    auto content = this->head.method + ' ' + this->head.target;
+    this->fingerprint = XXH3_64bits(content.data(), content.size());
+    return true;
+}
+
+Exchange::Limits Exchange::readLimits(const fleet::Route& matched) const
+{
+    auto deadline = defaultDeadline;
+    if (const auto* text = this->head.headers.find(this->context.names.deadline)) {
+        if (auto millis = parseNumber<std::int64_t>(*text))
+            deadline = std::clamp(fromMillis(*millis), Duration::zero(), longestDeadline);
+    }
+    auto& longest = this->context.longestDeadline[matched.name];
+    longest = std::max(longest, deadline);
+    // A caller that comes again sends what is left of its time; its target counts from its first attempt.
+    auto waited = longest - deadline;
+    Limits result;
+    result.target = this->arrived + matched.targetLatency - waited;
+    result.deadline = this->arrived + std::min(deadline - answerMargin, matched.timeout);
+    return result;
+}
+
+void Exchange::bodyArrived(bool complete)
+{
+    this->bodyComplete = this->bodyComplete || complete;
+    if (this->finished || !this->route) {
+        this->requestBody.clear();
+        return;
+    }
+    if (this->requestBody.end() > this->configuration->limits.maxBodyBytes) {
+        if (!this->passing)
+            this->answerOwn(this->mayHaveRun || this->sent ? 502 : 413, {}, "the body is longer than the limit");
+        return;
+    }
+    if (this->placed) {
+        this->pumpBody();
+        return;
+    }
+    if (this->job == 0 && this->attempts == 0 && (this->bodyComplete || this->requestBody.end() >= placeAtBody))
+        this->submit();
+}
+
+bool Exchange::wantsPause() const
+{
+    if (this->finished)
+        return false;
+    if (this->connection)
+        return this->connection->unsentBytes() > unsentLimit;
+    return this->requestBody.end() >= replayLimit;
+}
+
+void Exchange::submit()
+{
+    balance::Job request;
+    request.id.number = ++this->context.lastJob;
+    request.service = this->service;
+    request.key = this->key;
+    request.priority = this->route->priority;
+    request.target = this->limits.target;
+    request.deadline = this->limits.deadline;
+    request.attempt = this->attempts;
+    request.maxAttempts = this->route->maxAttempts;
+    request.tried = this->tried;
+    request.fingerprint = this->fingerprint;
+    this->job = request.id.number;
+    this->placed = false;
+    this->sent = false;
+    this->context.placer.submit(request, *this);
+}
+
+void Exchange::onRefused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter)
+{
+    if (number != this->job)
+        return;
+    this->job = 0;
+    std::string text(nameOf(balance::refusalReasonNames, reason));
+    if (this->mayHaveRun)
+        this->answerOwn(502, {}, "an attempt failed, and no other was possible: " + text);
+    else
+        this->answerOwn(503, retryAfter, text);
+}
+
+void Exchange::onPlaced(std::uint64_t number, const fleet::ServerEntry& target)
+{
+    if (number != this->job)
+        return;
+    this->placed = true;
+    this->server = target;
+    this->attemptStart = this->context.reactor.now();
+    auto address = net::SocketAddress::parse(target.address);
+    if (!succeeded(address)) {
+        this->endAttempt(balance::JobResult::ConnectFailed);
+        this->retryOrAnswer(503, errorOf(address).message);
+        return;
+    }
+    bool repeatable = this->route->kind == fleet::RequestKind::Idempotent;
+    this->connection = &this->context.backends.acquire(
+        target.life.id, valueOf(address), repeatable ? idleForRepeatable : idleForOthers);
+    this->bodySent = 0;
+    this->bodyFinished = false;
+    ++this->context.counters.attempts;
+    this->connection->start(this->requestHead(target), this->head.method == "HEAD", responseBuffer, *this);
+    this->pumpBody();
+}
+
+std::string Exchange::requestHead(const fleet::ServerEntry& target) const
+{
+    const auto& names = this->context.names;
+    std::string text;
+    text.reserve(512);
+    text.append(this->head.method).append(" ").append(this->head.target).append(" HTTP/1.1\r\n");
+    for (const auto& field : this->head.headers.all()) {
+        bool replaced = http::equalsIgnoringCase(field.name, names.deadline)
+            || http::equalsIgnoringCase(field.name, names.expectedServer)
+            || http::equalsIgnoringCase(field.name, "Content-Length") || http::equalsIgnoringCase(field.name, "Expect");
+        if (!replaced && !http::isHopByHop(this->head.headers, field.name))
+            text.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    auto left = std::max<std::int64_t>(1, toMillis(this->limits.deadline - this->context.reactor.now()));
+    text.append(names.deadline).append(": ").append(std::to_string(left)).append("\r\n");
+    text.append(names.expectedServer).append(": ").append(target.life.id).append("\r\n");
+    if (this->head.framing == http::Framing::Chunked)
+        text.append("Transfer-Encoding: chunked\r\n");
+    else if (this->head.framing == http::Framing::Length)
+        text.append("Content-Length: ").append(std::to_string(this->head.length)).append("\r\n");
+    return text.append("\r\n");
+}
+
+void Exchange::pumpBody()
+{
+    if (!this->connection || this->bodyFinished)
+        return;
+    bool chunked = this->head.framing == http::Framing::Chunked;
+    if (this->connection->unsentBytes() <= unsentLimit && this->bodySent < this->requestBody.end()) {
+        auto bytes = this->requestBody.from(this->bodySent);
+        if (chunked) {
+            char size[20];
+            auto end = std::to_chars(size, size + sizeof size, bytes.size(), 16).ptr;
+            this->connection->write(std::string(size, end) + "\r\n" + std::string(bytes) + "\r\n");
+        } else
+            this->connection->write(bytes);
+        this->bodySent = this->requestBody.end();
+        if (!this->bodyComplete)
+            this->requestBody.dropBefore(this->bodySent, replayLimit);
+    }
+    if (!this->bodyComplete || this->bodySent < this->requestBody.end())
+        return;
+    if (chunked)
+        this->connection->write("0\r\n\r\n");
+    this->bodyFinished = true;
+    this->connection->finishRequest();
+}
+
+bool Exchange::acceptsResponse(const http::Head& response)
+{
+    const auto* id = response.headers.find(this->context.names.requestId);
+    return !id || *id == this->requestId;
+}
+
+void Exchange::onResponse(const http::Head& response, std::string_view bytes, bool complete)
+{
+    if (this->passing) {
+        this->sink.passResponse(response, bytes, complete, false);
+        if (complete) {
+            this->connection = nullptr;
+            this->endAttempt(balance::JobResult::Answered);
+            this->finish();
+        } else if (this->sink.unsentBytes() > unsentLimit)
+            this->connection->setReading(false);
+        return;
+    }
+    if (complete)
+        this->connection = nullptr;
+    const auto& names = this->context.names;
+    bool notExecuted = response.headers.find(names.notExecuted) != nullptr || response.status == 421;
+    if (notExecuted) {
+        if (this->connection)
+            this->connection->abort();
+        this->connection = nullptr;
+        this->endAttempt(response.status == 421 ? balance::JobResult::WrongOwner : balance::JobResult::Rejected);
+        this->retryOrAnswer(503, "the backend server did not run it (" + std::to_string(response.status) + ")");
+        return;
+    }
+    bool signedResponse = response.headers.find(names.signature) != nullptr;
+    bool answersThis = response.headers.find(names.requestId) != nullptr;
+    if (!answersThis || (!signedResponse && response.status < 300)
+        || response.headers.find("Content-Encoding") != nullptr) {
+        if (this->connection)
+            this->connection->abort();
+        this->connection = nullptr;
+        this->endAttempt(balance::JobResult::Lost);
+        this->mayHaveRun = true;
+        this->retryOrAnswer(502, "the response is not a signed response to this request");
+        return;
+    }
+    bool serverFailed = response.status >= 500;
+    this->passing = true;
+    this->sink.passResponse(response, bytes, complete, true);
+    if (!complete)
+        return;
+    this->endAttempt(serverFailed ? balance::JobResult::ServerError : balance::JobResult::Answered);
+    this->finish();
+}
+
+void Exchange::onFailure(client::ExchangeFailure failure, const std::string& reason)
+{
+    this->connection = nullptr;
+    if (failure == client::ExchangeFailure::NotSent) {
+        this->endAttempt(balance::JobResult::ConnectFailed);
+        this->retryOrAnswer(503, reason);
+        return;
+    }
+    this->endAttempt(balance::JobResult::Lost);
+    this->mayHaveRun = true;
+    if (this->passing) {
+        this->sink.breakOff();
+        this->finish();
+        return;
+    }
+    this->retryOrAnswer(502, reason);
+}
+
+void Exchange::endAttempt(balance::JobResult result)
+{
+    auto elapsed = this->context.reactor.now() - this->attemptStart;
+    if (result != balance::JobResult::ConnectFailed)
+        ++this->attempts;
+    // A key has one owner, which stays the only one to try.
+    if (!this->key && result != balance::JobResult::Answered)
+        this->tried.push_back(this->server.life.id);
+    auto ended = this->job;
+    this->job = 0;
+    this->placed = false;
+    this->context.placer.ended(ended, result, elapsed);
+}
+
+bool Exchange::mayRetry() const
+{
+    if (this->attempts >= this->route->maxAttempts)
+        return false;
+    if (this->mayHaveRun && this->route->kind != fleet::RequestKind::Idempotent)
+        return false;
+    return this->requestBody.isReplayable() && this->context.reactor.now() < this->limits.deadline;
+}
+
+void Exchange::retryOrAnswer(unsigned status, const std::string& reason)
+{
+    if (this->mayRetry()) {
+        this->logOutcome("retry", status, reason);
+        this->submit();
+        return;
+    }
+    auto left = std::max(Duration::zero(), this->limits.deadline - this->context.reactor.now());
+    this->answerOwn(this->mayHaveRun ? 502 : status, left / 4, reason);
+}
+
+void Exchange::answerOwn(unsigned status, Duration retryAfter, const std::string& reason)
+{
+    if (this->finished)
+        return;
+    if (this->connection) {
+        this->connection->abort();
+        this->connection = nullptr;
+        this->endAttempt(balance::JobResult::Abandoned);
+    }
+    ++(status == 502 || status == 504 ? this->context.counters.failed : this->context.counters.refused);
+    this->logOutcome("own-answer", status, reason);
+    this->sink.sendOwn(status, retryAfter, reason);
+    this->finish();
+}
+
+void Exchange::onTimeLimit()
+{
+    if (this->passing) {
+        if (this->connection)
+            this->connection->abort();
+        this->connection = nullptr;
+        this->endAttempt(balance::JobResult::TimedOut);
+        this->logOutcome("broken-off", 0, "time limit");
+        this->sink.breakOff();
+        this->finish();
+        return;
+    }
+    if (this->connection) {
+        bool reached = this->sent;
+        this->connection->abort();
+        this->connection = nullptr;
+        this->mayHaveRun = this->mayHaveRun || reached;
+        this->endAttempt(reached ? balance::JobResult::TimedOut : balance::JobResult::ConnectFailed);
+        this->answerOwn(this->mayHaveRun ? 504 : 503, {}, "no response within the time limit");
+        return;
+    }
+    if (this->job != 0)
+        this->context.placer.withdraw(this->job);
+    this->job = 0;
+    this->answerOwn(this->mayHaveRun ? 504 : 503, {}, "no backend server within the time limit");
+}
+
+void Exchange::sinkDrained()
+{
+    if (this->connection && this->passing)
+        this->connection->setReading(true);
+}
+
+void Exchange::abandon()
+{
+    if (this->finished)
+        return;
+    ++this->context.counters.callersGone;
+    if (this->connection) {
+        this->connection->abort();
+        this->connection = nullptr;
+        this->endAttempt(balance::JobResult::Abandoned);
+    } else if (this->job != 0)
+        this->context.placer.withdraw(this->job);
+    this->job = 0;
+    this->logOutcome("caller-gone", 0, "the caller closed its connection");
+    this->finish();
+}
+
+void Exchange::finish()
+{
+    this->finished = true;
+    if (this->timer)
+        this->context.reactor.cancel(*this->timer);
+    this->timer.reset();
+    this->requestBody.clear();
+}
+
+void Exchange::logOutcome(const std::string& outcome, unsigned status, const std::string& reason)
+{
+    auto millis = [](Duration time) { return std::to_string(toMillis(time)); };
+    auto now = this->context.reactor.now();
+    this->context.events.record(timeline::Severity::Debug, "request",
+        { { "request", this->requestId }, { "outcome", outcome }, { "status", std::to_string(status) },
+            { "reason", reason }, { "route", this->route ? this->route->name : "" },
+            { "config", std::to_string(this->configuration ? this->configuration->version : 0) },
+            { "service", this->service }, { "key", this->key ? std::to_string(*this->key) : "" },
+            { "server", this->server.life.id }, { "attempts", std::to_string(this->attempts) },
+            { "age_ms", millis(now - this->arrived) }, { "left_ms", millis(this->limits.deadline - now) } });
+}
+
+}
--- /dev/null
+++ b/libs/fleet/include/fleet/ServerDirectory.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "fleet/ServerEntry.h"
+
+#include <optional>
+#include <vector>
+
+namespace sequoia::fleet {
+
+//! The backend servers that are to be used, from lists that are read periodically. Pure.
+class ServerDirectory {
+public:
+    //! Entries of servers that live are back in the list within `graceAfterOutage` of the store's return; until then,
+    //! entries that are missing are kept. Reads further apart than `outageGap` count as an outage.
+    ServerDirectory(Duration outageGap, Duration graceAfterOutage);
+
+    //! Takes a complete list; whether anything changed.
+    bool update(const std::vector<ServerEntry>& listed, TimePoint now);
+    const ServerMap& servers() const { return this->current; }
+
+private:
+    Duration outageGap;
+    Duration graceAfterOutage;
+    ServerMap current;
+    std::optional<TimePoint> lastUpdate;
+    TimePoint graceEnd {};
+};
+
+}
--- /dev/null
+++ b/libs/fleet/include/fleet/ServerEntry.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace sequoia::fleet {
+
+//! One life of a backend server: an id may be used again after a restart, and then holds nothing.
+struct ServerLife {
+    std::string id;
+    std::int64_t bornMillis = 0; //!< Unix time of the start
+
+    auto operator<=>(const ServerLife&) const = default;
+};
+
+enum class ServerState {
+    Ready,
+    Draining, //!< Finishes its requests and takes no new ones.
+};
+
+//! What a backend server says of itself.
+struct ServerEntry {
+    ServerLife life;
+    std::string service;
+    std::string address;
+    std::string dataCentre;
+    std::uint32_t slots = 1; //!< requests that it runs at once
+    ServerState state = ServerState::Ready;
+    Duration warmupLeft {}; //!< how much longer it is slow after its start
+
+    bool operator==(const ServerEntry&) const = default;
+};
+
+//! Backend servers by id.
+using ServerMap = std::map<std::string, ServerEntry, std::less<>>;
+
+}
--- /dev/null
+++ b/libs/fleet/src/Configuration.cpp
@@ -0,0 +1,38 @@
+#include "fleet/Configuration.h"
+
+#include <cassert>
+
+namespace sequoia::fleet {
+
+void Configuration::addRoute(Route route)
+{
+    assert(!route.targets.empty());
+    auto& routes = this->routesOfHost[route.host];
+    auto prefix = route.prefix;
+    if (routes.insert_or_assign(std::move(prefix), std::move(route)).second)
+        ++this->count;
+}
+
+const Route* Configuration::match(std::string_view host, std::string_view path) const
+{
+    auto routes = this->routesOfHost.find(std::string(host));
+    if (routes == this->routesOfHost.end())
+        return nullptr;
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos;) {
+        auto found = routes->second.find(std::string(path.substr(0, slash + 1)));
+        if (found != routes->second.end())
+            return &found->second;
+        if (slash == 0)
+            break;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const ServiceTraits* Configuration::service(std::string_view name) const
+{
+    auto found = this->services.find(name);
+    return found == this->services.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "balance/OwnerLookup.h"
+#include "keyspace/KeyPlan.h"
+#include "keyspace/Rebalancer.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoia::keyspace {
+
+using OrderId = std::uint64_t;
+
+enum class OrderType {
+    Grant, //!< The server may serve the keys for the holding time; again under the same fence, a renewal.
+    Release, //!< The server stops serving the keys and answers when its running work has ended.
+};
+
+//! An order to a backend server.
+struct Order {
+    OrderId id = 0;
+    OrderType type = OrderType::Grant;
+    std::string service;
+    fleet::ServerLife server;
+    std::string address;
+    fleet::KeyRange keys;
+    fleet::Fence fence = 0;
+    Duration holdTime {}; //!< grants only
+    std::string handover; //!< grants only; state of the keys as their last owner gave it
+};
+
+enum class OrderResult {
+    Accepted,
+    HigherFenceSeen,
+    NotSent, //!< No connection; the server has not received the order.
+    Unknown, //!< It may be carried out, also later.
+};
+
+struct OrderAnswer {
+    OrderResult result = OrderResult::Unknown;
+    std::string handover; //!< of a release
+};
+
+//! Times of grants.
+struct GrantTerms {
+    Duration holdTime = std::chrono::seconds(4);
+    Duration renewInterval = std::chrono::seconds(1);
+    double clockRateBound = 0.02; //!< a server's clock may run this much slow
+    Duration deliverySlack = std::chrono::milliseconds(400); //!< a grant may arrive this long after it was sent
+    Duration orderRetry = std::chrono::milliseconds(250);
+};
+
+//! What happened, for the log.
+struct KeyEvent {
+    std::string kind;
+    fleet::KeyRange keys;
+    std::string from;
+    std::string to;
+    fleet::Fence fence = 0;
+    std::string reason;
+};
+
+//! Owners of the keys of one service: keeps grants alive, moves keys, and replaces lost owners. Pure.
+//!
+//! A change of owner is written first, then the old owner releases the keys or its hold runs out, then the new
+//! owner gets them under a higher fence. So two servers never hold a key at the same time.
+class GrantKeeper {
+public:
+    struct Outputs {
+        std::vector<Order> orders;
+        std::optional<KeyPlan> write; //!< to be written, one at a time, before anything else happens
+        std::vector<KeyEvent> events;
+    };
+
+    //! Takes over a plan from the store, or one in which nobody owns a key. Orders of an earlier coordinator may
+    //! still be in force.
+    GrantKeeper(KeyPlan stored, std::uint64_t term, GrantTerms terms, TimePoint now);
+
+    void setServers(const fleet::ServerMap& servers);
+    void setCapacities(const Capacities& capacities) { this->capacities = capacities; }
+
+    Outputs tick(const KeyLoad& load, TimePoint now);
+    void written(std::uint64_t sequence, TimePoint now);
+    void answered(OrderId order, const OrderAnswer& answer, TimePoint now);
+
+    balance::Owner ownerOf(fleet::Key key, TimePoint now) const;
+    //! The plan as the hosts are told: including changes since the last write that do not need one.
+    const KeyPlan& plan() const { return this->current; }
+    std::uint64_t version() const { return this->changes; }
+    //! A server has seen a higher fence than this coordinator gave out.
+    bool isSuperseded() const { return this->superseded; }
+
+private:
+    enum class Stage {
+        Steady, //!< The owner has the keys, or gets them again.
+        Announced, //!< The change waits for its write.
+        Releasing,
+        Granting,
+    };
+    struct RangeState {
+        Stage stage = Stage::Granting;
+        TimePoint heldUntil {}; //!< the owner may hold the keys until then, by any order
+        TimePoint successorHeldUntil {};
+        TimePoint heldBeforeOrder {}; //!< end of the hold if the outstanding order does not arrive
+        TimePoint confirmedUntil {}; //!< the owner holds the keys at least until then
+        TimePoint nextOrder {};
+        OrderId outstanding = 0;
+        TimePoint orderSent {};
+        unsigned unanswered = 0; //!< orders in a row
+        std::string handover;
+        TimePoint movedAt {};
+    };
+
+    bool isPresent(const fleet::ServerLife& life) const;
+    bool isReady(const fleet::ServerLife& life) const;
+    bool lifeIsOver(const fleet::ServerLife& life) const;
+    const char* replacementReason(std::size_t index, TimePoint now) const;
+    void announceReplacements(const KeyLoad& load, TimePoint now, Outputs& outputs);
+    void announceMoves(const KeyLoad& load, TimePoint now, Outputs& outputs);
+    void applyMove(const Move& move, const char* reason, Outputs& outputs);
+    std::size_t splitAt(std::uint32_t key);
+    void mergeNeighbours(TimePoint now);
+    void adoptFences();
+    void requestWrite(Outputs& outputs);
+    void advance(std::size_t index, TimePoint now, Outputs& outputs);
+    void renew(std::size_t index, TimePoint now, Outputs& outputs);
+    void sendRelease(std::size_t index, TimePoint now, Outputs& outputs);
+    void sendGrant(std::size_t index, TimePoint now, Outputs& outputs);
+    Order makeOrder(std::size_t index, OrderType type, const fleet::ServerLife& server, fleet::Fence fence);
+    void grantAnswered(std::size_t index, const OrderAnswer& answer, TimePoint now);
+    void releaseAnswered(std::size_t index, const OrderAnswer& answer);
+    TimePoint holdEnd(TimePoint sent) const;
+
+    KeyPlan current;
+    std::vector<RangeState> states; //!< of current.ranges, by index
+    GrantTerms terms;
+    fleet::ServerMap servers;
+    std::map<fleet::ServerLife, std::string> addresses; //!< also of servers that left the list
+    Capacities capacities;
+    std::optional<std::uint64_t> writing; //!< sequence of the write that is not confirmed
+    bool adopted = false;
+    bool changed = false; //!< the plan differs from what was written last
+    bool superseded = false;
+    OrderId lastOrder = 0;
+    std::uint64_t changes = 1;
+    TimePoint lastRebalance {};
+};
+
+}
--- /dev/null
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -0,0 +1,441 @@
+#include "keyspace/GrantKeeper.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace sequoia::keyspace {
+
+namespace {
+
+// Moves for balance are decided at this interval, so that the load after a move is measured before the next.
+constexpr Duration rebalanceInterval = std::chrono::milliseconds(500);
+// Keys rest this long after a move.
+constexpr Duration restAfterMove = std::chrono::seconds(2);
+// Unanswered renewals in a row after which no more are sent, so that the hold of a lost server runs out.
+constexpr unsigned unansweredToStop = 2;
+// Unanswered grants in a row after which keys go to another server than planned.
+constexpr unsigned unansweredToReplace = 5;
+// Senders of orders give them up before this; a margin for an answer that never comes.
+constexpr Duration orderLimit = std::chrono::seconds(4);
+
+}
+
+GrantKeeper::GrantKeeper(KeyPlan stored, std::uint64_t term, GrantTerms grantTerms, TimePoint now)
+    : current(std::move(stored))
+    , terms(grantTerms)
+{
+    this->current.term = term;
+    RangeState state;
+    // An earlier coordinator may have sent its last grant just now.
+    state.heldUntil = this->holdEnd(now);
+    state.successorHeldUntil = state.heldUntil;
+    this->states.assign(this->current.ranges.size(), state);
+}
+
+void GrantKeeper::setServers(const fleet::ServerMap& listed)
+{
+    if (this->servers != listed)
+        ++this->changes;
+    this->servers = listed;
+    for (const auto& [id, entry] : listed)
+        this->addresses[entry.life] = entry.address;
+}
+
+bool GrantKeeper::isPresent(const fleet::ServerLife& life) const
+{
+    auto found = this->servers.find(life.id);
+    return found != this->servers.end() && found->second.life == life;
+}
+
+bool GrantKeeper::isReady(const fleet::ServerLife& life) const
+{
+    return this->isPresent(life) && this->servers.find(life.id)->second.state == fleet::ServerState::Ready;
+}
+
+bool GrantKeeper::lifeIsOver(const fleet::ServerLife& life) const
+{
+    auto found = this->servers.find(life.id);
+    return found != this->servers.end() && found->second.life.bornMillis > life.bornMillis;
+}
+
+TimePoint GrantKeeper::holdEnd(TimePoint sent) const
+{
+    double hold = static_cast<double>(this->terms.holdTime.count()) * (1 + this->terms.clockRateBound);
+    return sent + Duration(static_cast<std::int64_t>(hold)) + this->terms.deliverySlack;
+}
+
+GrantKeeper::Outputs GrantKeeper::tick(const KeyLoad& load, TimePoint now)
+{
+    Outputs outputs;
+    if (this->superseded)
+        return outputs;
+    if (!this->writing) {
+        if (!this->adopted) {
+            this->adoptFences();
+            this->adopted = true;
+            this->changed = true;
+        }
+        this->announceReplacements(load, now, outputs);
+        if (now - this->lastRebalance >= rebalanceInterval) {
+            this->lastRebalance = now;
+            this->announceMoves(load, now, outputs);
+        }
+        if (this->changed)
+            this->requestWrite(outputs);
+    }
+    for (std::size_t i = 0; i < this->states.size(); ++i)
+        this->advance(i, now, outputs);
+    return outputs;
+}
+
+// A new coordinator gives each owner its keys under a higher fence, so that orders of an earlier coordinator that are
+// still on their way are refused.
+void GrantKeeper::adoptFences()
+{
+    for (std::size_t i = 0; i < this->current.ranges.size(); ++i) {
+        auto& range = this->current.ranges[i];
+        if (range.successor) {
+            range.successor->fence = ++this->current.lastFence;
+            this->states[i].stage = Stage::Announced;
+        } else if (!range.owner.id.empty()) {
+            // Kept as a change of the owner to itself: the write comes first, then the grant.
+            range.successor = Successor { range.owner, ++this->current.lastFence };
+            this->states[i].stage = Stage::Announced;
+        }
+    }
+}
+
+const char* GrantKeeper::replacementReason(std::size_t index, TimePoint now) const
+{
+    const auto& range = this->current.ranges[index];
+    const auto& state = this->states[index];
+    if (range.successor) {
+        if (!this->isReady(range.successor->server))
+            return "successor left";
+        if (state.stage == Stage::Granting && state.unanswered >= unansweredToReplace)
+            return "successor silent";
+        return nullptr;
+    }
+    if (range.owner.id.empty())
+        return "no owner";
+    if (!this->isPresent(range.owner))
+        return this->lifeIsOver(range.owner) ? "owner started anew" : "owner gone";
+    if (!this->isReady(range.owner))
+        return "owner draining";
+    if (state.unanswered >= unansweredToStop && now > state.heldUntil)
+        return "owner silent";
+    return nullptr;
+}
+
+void GrantKeeper::announceReplacements(const KeyLoad& load, TimePoint now, Outputs& outputs)
+{
+    std::vector<bool> needsOwner(this->current.ranges.size(), false);
+    std::vector<const char*> reasons(this->current.ranges.size(), nullptr);
+    bool any = false;
+    for (std::size_t i = 0; i < needsOwner.size(); ++i) {
+        reasons[i] = this->replacementReason(i, now);
+        needsOwner[i] = reasons[i] != nullptr;
+        any = any || needsOwner[i];
+    }
+    if (!any)
+        return;
+    Capacities usable;
+    for (const auto& [server, capacity] : this->capacities) {
+        if (this->isReady(server))
+            usable[server] = capacity;
+    }
+    // A silent owner must not get its own keys back at once.
+    for (std::size_t i = 0; i < needsOwner.size(); ++i) {
+        const auto& range = this->current.ranges[i];
+        if (needsOwner[i] && this->states[i].unanswered >= unansweredToStop && usable.size() > 1)
+            usable.erase(range.successor ? range.successor->server : range.owner);
+    }
+    auto copy = this->current;
+    for (const auto& move : assignUnowned(copy, needsOwner, load, usable))
+        this->applyMove(move, reasons[copy.find(move.keys.first)], outputs);
+}
+
+void GrantKeeper::announceMoves(const KeyLoad& load, TimePoint now, Outputs& outputs)
+{
+    Capacities usable;
+    for (const auto& [server, capacity] : this->capacities) {
+        if (this->isReady(server))
+            usable[server] = capacity;
+    }
+    for (const auto& move : rebalance(this->current, load, usable)) {
+        const auto& state = this->states[this->current.find(move.keys.first)];
+        if (state.stage != Stage::Steady || now - state.movedAt < restAfterMove)
+            continue;
+        this->applyMove(move, "load", outputs);
+    }
+}
+
+std::size_t GrantKeeper::splitAt(std::uint32_t key)
+{
+    if (key >= fleet::keyCount)
+        return this->current.ranges.size();
+    auto index = this->current.find(static_cast<fleet::Key>(key));
+    if (this->current.ranges[index].keys.first == key)
+        return index;
+    auto upper = this->current.ranges[index];
+    upper.keys.first = static_cast<fleet::Key>(key);
+    this->current.ranges[index].keys.last = static_cast<fleet::Key>(key - 1);
+    this->current.ranges.insert(this->current.ranges.begin() + static_cast<std::ptrdiff_t>(index) + 1, upper);
+    auto state = this->states[index];
+    // The answer to an order for the whole range is taken by the lower part; the upper part asks again.
+    state.outstanding = 0;
+    state.nextOrder = {};
+    this->states.insert(this->states.begin() + static_cast<std::ptrdiff_t>(index) + 1, state);
+    return index + 1;
+}
+
+void GrantKeeper::applyMove(const Move& move, const char* reason, Outputs& outputs)
+{
+    auto begin = this->splitAt(move.keys.first);
+    auto end = this->splitAt(std::uint32_t(move.keys.last) + 1);
+    for (std::size_t i = begin; i < end; ++i) {
+        auto& range = this->current.ranges[i];
+        auto& state = this->states[i];
+        outputs.events.push_back({ "keys_move", range.keys, range.owner.id, move.target.id,
+            this->current.lastFence + 1, reason });
+        if (range.successor && state.stage == Stage::Granting) {
+            // The successor may hold the keys by now, so it becomes the owner that has to let them go.
+            range.owner = range.successor->server;
+            range.fence = range.successor->fence;
+            state.heldUntil = std::max(state.successorHeldUntil, state.heldUntil);
+        }
+        range.successor = Successor { move.target, ++this->current.lastFence };
+        state.stage = Stage::Announced;
+        state.outstanding = 0;
+        state.unanswered = 0;
+        state.nextOrder = {};
+    }
+    this->changed = true;
+    ++this->changes;
+}
+
+// Neighbours with one owner become one range, when the owner can get both under one new fence without a gap.
+void GrantKeeper::mergeNeighbours(TimePoint now)
+{
+    for (std::size_t i = 0; i + 1 < this->current.ranges.size();) {
+        auto& left = this->current.ranges[i];
+        auto& right = this->current.ranges[i + 1];
+        auto& leftState = this->states[i];
+        auto& rightState = this->states[i + 1];
+        bool steady = leftState.stage == Stage::Steady && rightState.stage == Stage::Steady
+            && leftState.unanswered == 0 && rightState.unanswered == 0 && leftState.confirmedUntil > now
+            && rightState.confirmedUntil > now && now - leftState.movedAt > restAfterMove
+            && now - rightState.movedAt > restAfterMove;
+        if (!steady || left.owner != right.owner || left.owner.id.empty() || left.fence != right.fence) {
+            ++i;
+            continue;
+        }
+        left.keys.last = right.keys.last;
+        leftState.heldUntil = std::max(leftState.heldUntil, rightState.heldUntil);
+        leftState.confirmedUntil = std::min(leftState.confirmedUntil, rightState.confirmedUntil);
+        leftState.nextOrder = {};
+        this->current.ranges.erase(this->current.ranges.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+        this->states.erase(this->states.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+    }
+}
+
+void GrantKeeper::requestWrite(Outputs& outputs)
+{
+    ++this->current.sequence;
+    this->writing = this->current.sequence;
+    this->changed = false;
+    outputs.write = this->current;
+}
+
+void GrantKeeper::written(std::uint64_t sequence, TimePoint now)
+{
+    if (this->writing != sequence)
+        return;
+    this->writing.reset();
+    for (std::size_t i = 0; i < this->states.size(); ++i) {
+        auto& state = this->states[i];
+        if (state.stage != Stage::Announced)
+            continue;
+        const auto& range = this->current.ranges[i];
+        bool sameServer = range.successor && range.owner == range.successor->server;
+        state.stage = range.owner.id.empty() || sameServer ? Stage::Granting : Stage::Releasing;
+        state.nextOrder = now;
+    }
+    this->mergeNeighbours(now);
+    ++this->changes;
+}
+
+void GrantKeeper::advance(std::size_t index, TimePoint now, Outputs& outputs)
+{
+    auto& range = this->current.ranges[index];
+    auto& state = this->states[index];
+    if (state.outstanding != 0 && now - state.orderSent > orderLimit) {
+        state.outstanding = 0;
+        ++state.unanswered;
+    }
+    switch (state.stage) {
+    case Stage::Announced:
+        break;
+    case Stage::Steady:
+        this->renew(index, now, outputs);
+        break;
+    case Stage::Releasing:
+        if (now > state.heldUntil || this->lifeIsOver(range.owner)) {
+            state.stage = Stage::Granting;
+            state.outstanding = 0;
+            state.unanswered = 0;
+            state.nextOrder = now;
+            state.handover.clear();
+            this->sendGrant(index, now, outputs);
+        } else if (state.outstanding == 0 && now >= state.nextOrder)
+            this->sendRelease(index, now, outputs);
+        break;
+    case Stage::Granting:
+        if (state.outstanding == 0 && now >= state.nextOrder)
+            this->sendGrant(index, now, outputs);
+        break;
+    }
+}
+
+void GrantKeeper::renew(std::size_t index, TimePoint now, Outputs& outputs)
+{
+    auto& range = this->current.ranges[index];
+    auto& state = this->states[index];
+    if (range.owner.id.empty() || state.outstanding != 0 || now < state.nextOrder)
+        return;
+    // Renewals end where the owner is to be replaced, and for a server that does not answer.
+    if (!this->isReady(range.owner) || state.unanswered >= unansweredToStop)
+        return;
+    auto order = this->makeOrder(index, OrderType::Grant, range.owner, range.fence);
+    state.outstanding = order.id;
+    state.orderSent = now;
+    state.heldBeforeOrder = state.heldUntil;
+    state.heldUntil = this->holdEnd(now);
+    state.nextOrder = now + this->terms.renewInterval;
+    outputs.orders.push_back(std::move(order));
+}
+
+void GrantKeeper::sendRelease(std::size_t index, TimePoint now, Outputs& outputs)
+{
+    auto& range = this->current.ranges[index];
+    auto& state = this->states[index];
+    auto order = this->makeOrder(index, OrderType::Release, range.owner, range.fence);
+    state.outstanding = order.id;
+    state.orderSent = now;
+    state.nextOrder = now + this->terms.orderRetry;
+    outputs.orders.push_back(std::move(order));
+}
+
+void GrantKeeper::sendGrant(std::size_t index, TimePoint now, Outputs& outputs)
+{
+    auto& range = this->current.ranges[index];
+    auto& state = this->states[index];
+    if (!range.successor || !this->isReady(range.successor->server))
+        return;
+    auto order = this->makeOrder(index, OrderType::Grant, range.successor->server, range.successor->fence);
+    order.handover = state.handover;
+    state.outstanding = order.id;
+    state.orderSent = now;
+    state.heldBeforeOrder = state.successorHeldUntil;
+    state.successorHeldUntil = this->holdEnd(now);
+    state.nextOrder = now + this->terms.orderRetry;
+    outputs.orders.push_back(std::move(order));
+}
+
+Order GrantKeeper::makeOrder(
+    std::size_t index, OrderType type, const fleet::ServerLife& server, fleet::Fence fence)
+{
+    Order order;
+    order.id = ++this->lastOrder;
+    order.type = type;
+    order.service = this->current.service;
+    order.server = server;
+    auto address = this->addresses.find(server);
+    if (address != this->addresses.end())
+        order.address = address->second;
+    order.keys = this->current.ranges[index].keys;
+    order.fence = fence;
+    order.holdTime = this->terms.holdTime;
+    return order;
+}
+
+void GrantKeeper::answered(OrderId order, const OrderAnswer& answer, TimePoint now)
+{
+    auto found = std::find_if(this->states.begin(), this->states.end(),
+        [&](const RangeState& state) { return state.outstanding == order; });
+    if (found == this->states.end())
+        return;
+    auto index = static_cast<std::size_t>(found - this->states.begin());
+    found->outstanding = 0;
+    if (answer.result == OrderResult::HigherFenceSeen) {
+        this->superseded = true;
+        return;
+    }
+    if (found->stage == Stage::Releasing)
+        this->releaseAnswered(index, answer);
+    else
+        this->grantAnswered(index, answer, now);
+}
+
+void GrantKeeper::releaseAnswered(std::size_t index, const OrderAnswer& answer)
+{
+    auto& state = this->states[index];
+    if (answer.result != OrderResult::Accepted) {
+        ++state.unanswered;
+        return;
+    }
+    state.stage = Stage::Granting;
+    state.unanswered = 0;
+    state.handover = answer.handover;
+    state.nextOrder = {};
+}
+
+void GrantKeeper::grantAnswered(std::size_t index, const OrderAnswer& answer, TimePoint now)
+{
+    auto& range = this->current.ranges[index];
+    auto& state = this->states[index];
+    if (answer.result != OrderResult::Accepted) {
+        ++state.unanswered;
+        // What was not sent does not extend the hold.
+        if (answer.result == OrderResult::NotSent)
+            (state.stage == Stage::Steady ? state.heldUntil : state.successorHeldUntil) = state.heldBeforeOrder;
+        // A renewal is tried again soon, while the hold lasts.
+        if (state.stage == Stage::Steady)
+            state.nextOrder = now + this->terms.orderRetry;
+        return;
+    }
+    state.unanswered = 0;
+    auto confirmed = state.orderSent + this->terms.holdTime;
+    if (state.stage == Stage::Granting && range.successor) {
+        if (range.owner != range.successor->server)
+            state.movedAt = now;
+        range.owner = range.successor->server;
+        range.fence = range.successor->fence;
+        range.successor.reset();
+        state.stage = Stage::Steady;
+        state.heldUntil = state.successorHeldUntil;
+        state.handover.clear();
+        state.nextOrder = state.orderSent + this->terms.renewInterval;
+        this->changed = true;
+        ++this->changes;
+    }
+    if (state.confirmedUntil <= now)
+        ++this->changes;
+    state.confirmedUntil = std::max(state.confirmedUntil, confirmed);
+}
+
+balance::Owner GrantKeeper::ownerOf(fleet::Key key, TimePoint now) const
+{
+    auto index = this->current.find(key);
+    const auto& range = this->current.ranges[index];
+    const auto& state = this->states[index];
+    if (!range.successor && !range.owner.id.empty() && now < state.confirmedUntil && this->isReady(range.owner))
+        return { balance::Ownership::Owned, range.owner.id };
+    bool waitsForHold = state.stage == Stage::Releasing && state.unanswered > 0;
+    bool lost = state.stage == Stage::Steady && state.unanswered >= unansweredToStop;
+    if (waitsForHold || lost || (range.owner.id.empty() && !range.successor))
+        return { balance::Ownership::Nobody, {} };
+    return { balance::Ownership::Moving, {} };
+}
+
+}
--- /dev/null
+++ b/libs/keyspace/src/KeyPlan.cpp
@@ -0,0 +1,129 @@
+#include "keyspace/KeyPlan.h"
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+
+namespace sequoia::keyspace {
+
+namespace {
+
+Error malformedPlan(const std::string& reason)
+{
+    return Error { ErrorKind::MalformedMessage, "malformed key plan: " + reason,
+        "check that all hosts run the same version of the program" };
+}
+
+//! Servers by their index in the message, counted from 1.
+class ServerTable {
+public:
+    std::uint32_t indexOf(const fleet::ServerLife& life, wire::KeyPlan& message)
+    {
+        if (life.id.empty())
+            return 0;
+        auto [found, added] = this->indices.try_emplace(life, this->indices.size() + 1);
+        if (added) {
+            auto* server = message.add_servers();
+            server->set_id(life.id);
+            server->set_born_ms(life.bornMillis);
+        }
+        return static_cast<std::uint32_t>(found->second);
+    }
+
+private:
+    std::map<fleet::ServerLife, std::size_t> indices;
+};
+
+std::optional<fleet::ServerLife> serverAt(const wire::KeyPlan& message, std::uint32_t index)
+{
+    if (index == 0)
+        return fleet::ServerLife {};
+    if (index > static_cast<std::uint32_t>(message.servers_size()))
+        return std::nullopt;
+    const auto& server = message.servers(static_cast<int>(index - 1));
+    return fleet::ServerLife { server.id(), server.born_ms() };
+}
+
+}
+
+KeyPlan KeyPlan::unowned(const std::string& service)
+{
+    KeyPlan plan;
+    plan.service = service;
+    plan.ranges.push_back({ { 0, static_cast<fleet::Key>(fleet::keyCount - 1) }, {}, 0, std::nullopt });
+    return plan;
+}
+
+Result<KeyPlan> KeyPlan::fromWire(const wire::KeyPlan& message)
+{
+    KeyPlan plan;
+    plan.service = message.service();
+    plan.term = message.term();
+    plan.sequence = message.sequence();
+    plan.lastFence = message.last_fence();
+    std::uint32_t next = 0;
+    for (const auto& range : message.ranges()) {
+        auto owner = serverAt(message, range.owner());
+        auto successor = serverAt(message, range.successor());
+        if (!owner || !successor)
+            return malformedPlan("a server that is not listed");
+        if (range.first() != next || range.last() < range.first() || range.last() >= fleet::keyCount)
+            return malformedPlan("ranges with a gap or an overlap");
+        if (std::max(range.fence(), range.successor_fence()) > plan.lastFence)
+            return malformedPlan("a fence above the last one");
+        next = range.last() + 1;
+        PlannedRange planned { { static_cast<fleet::Key>(range.first()), static_cast<fleet::Key>(range.last()) },
+            *owner, range.fence(), std::nullopt };
+        if (!successor->id.empty())
+            planned.successor = Successor { *successor, range.successor_fence() };
+        plan.ranges.push_back(std::move(planned));
+    }
+    if (next != fleet::keyCount)
+        return malformedPlan("ranges that do not cover all keys");
+    return plan;
+}
+
+Result<KeyPlan> KeyPlan::parse(std::string_view bytes)
+{
+    wire::KeyPlan message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return malformedPlan("not a protobuf message");
+    return fromWire(message);
+}
+
+wire::KeyPlan KeyPlan::toWire() const
+{
+    wire::KeyPlan message;
+    message.set_service(this->service);
+    message.set_term(this->term);
+    message.set_sequence(this->sequence);
+    message.set_last_fence(this->lastFence);
+    ServerTable servers;
+    for (const auto& range : this->ranges) {
+        auto* entry = message.add_ranges();
+        entry->set_first(range.keys.first);
+        entry->set_last(range.keys.last);
+        entry->set_owner(servers.indexOf(range.owner, message));
+        entry->set_fence(range.fence);
+        if (range.successor) {
+            entry->set_successor(servers.indexOf(range.successor->server, message));
+            entry->set_successor_fence(range.successor->fence);
+        }
+    }
+    return message;
+}
+
+std::string KeyPlan::serialize() const
+{
+    return this->toWire().SerializeAsString();
+}
+
+std::size_t KeyPlan::find(fleet::Key key) const
+{
+    auto found = std::lower_bound(this->ranges.begin(), this->ranges.end(), key,
+        [](const PlannedRange& range, fleet::Key wanted) { return range.keys.last < wanted; });
+    assert(found != this->ranges.end());
+    return static_cast<std::size_t>(found - this->ranges.begin());
+}
+
+}
--- /dev/null
+++ b/libs/net/include/net/Reactor.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/Clock.h"
+
+#include <cstdint>
+#include <functional>
+#include <glib.h>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace sequoia::net {
+
+//! Receives the readiness of a descriptor.
+class IoHandler {
+public:
+    virtual ~IoHandler() = default;
+    //! `events` are epoll's flags.
+    virtual void onIo(std::uint32_t events) = 0;
+};
+
+//! Sockets and timers of one task: an epoll set and a timer queue, run by a GMainContext.
+class Reactor {
+public:
+    using TimerId = std::pair<TimePoint, std::uint64_t>;
+
+    Reactor(GMainContext* context, const Clock& clock);
+    ~Reactor();
+
+    Reactor(const Reactor&) = delete;
+    Reactor& operator=(const Reactor&) = delete;
+
+    void watch(int descriptor, std::uint32_t events, IoHandler& handler);
+    void modify(int descriptor, std::uint32_t events);
+    void forget(int descriptor);
+
+    TimerId schedule(TimePoint when, std::function<void()> callback);
+    TimerId scheduleAfter(Duration delay, std::function<void()> callback);
+    //! Ignores timers that have fired already.
+    void cancel(TimerId timer);
+
+    //! Runs the callback after the handlers of the current iteration; for objects that end themselves.
+    void defer(std::function<void()> callback);
+
+    //! The current time, read from the clock.
+    TimePoint now() const { return this->clock.now(); }
+    const Clock& time() const { return this->clock; }
+
+private:
+    struct Source;
+
+    int pollTimeoutMillis() const;
+    void dispatch();
+    void dispatchIo();
+    void dispatchTimers();
+    void dispatchDeferred();
+
+    const Clock& clock;
+    int epollDescriptor;
+    GSource* source;
+    std::unordered_map<int, IoHandler*> handlers;
+    std::map<TimerId, std::function<void()>> timers;
+    std::vector<std::function<void()>> deferred;
+    std::uint64_t lastTimer = 0;
+};
+
+}
--- /dev/null
+++ b/libs/net/include/net/UdpSocket.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "net/Reactor.h"
+#include "net/SocketAddress.h"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace sequoia::net {
+
+//! Sends and receives datagrams between hosts.
+class UdpSocket final : private IoHandler {
+public:
+    using Received = std::function<void(std::string_view bytes, const SocketAddress& sender)>;
+
+    static Result<std::unique_ptr<UdpSocket>> bind(Reactor& reactor, const SocketAddress& address, Received received);
+    ~UdpSocket() override;
+
+    UdpSocket(const UdpSocket&) = delete;
+    UdpSocket& operator=(const UdpSocket&) = delete;
+
+    //! Best effort: a datagram that the kernel does not take is lost, like any other.
+    void send(std::string_view bytes, const SocketAddress& target);
+
+private:
+    UdpSocket(Reactor& reactor, int descriptor, Received received);
+    void onIo(std::uint32_t events) override;
+
+    Reactor& reactor;
+    int descriptor;
+    Received received;
+};
+
+}
--- /dev/null
+++ b/libs/net/src/TcpListener.cpp
@@ -0,0 +1,69 @@
+#include "net/TcpListener.h"
+
+#include <cerrno>
+#include <cstring>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sequoia::net {
+
+namespace {
+
+// Connections that wait to be accepted. A full queue drops the opening packet, which costs a caller seconds.
+constexpr int backlog = 1024;
+// Connections accepted per iteration, so that established ones are served between.
+constexpr int acceptBatch = 16;
+
+}
+
+Result<std::unique_ptr<TcpListener>> TcpListener::listen(
+    Reactor& reactor, const SocketAddress& address, Accepted accepted)
+{
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    int one = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (descriptor < 0 || bind(descriptor, address.pointer(), sizeof address.value) != 0
+        || ::listen(descriptor, backlog) != 0) {
+        std::string reason = std::strerror(errno);
+        if (descriptor >= 0)
+            close(descriptor);
+        return Error { ErrorKind::Unavailable, "cannot listen on " + address.toString() + ": " + reason,
+            "check that the address belongs to this host and that no other program uses the port" };
+    }
+    return std::unique_ptr<TcpListener>(new TcpListener(reactor, descriptor, std::move(accepted)));
+}
+
+TcpListener::TcpListener(Reactor& owner, int listening, Accepted callback)
+    : reactor(owner)
+    , descriptor(listening)
+    , accepted(std::move(callback))
+{
+    this->reactor.watch(this->descriptor, EPOLLIN, *this);
+}
+
+TcpListener::~TcpListener()
+{
+    this->reactor.forget(this->descriptor);
+    close(this->descriptor);
+}
+
+SocketAddress TcpListener::address() const
+{
+    SocketAddress bound;
+    socklen_t length = sizeof bound.value;
+    getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&bound.value), &length);
+    return bound;
+}
+
+void TcpListener::onIo(std::uint32_t)
+{
+    for (int i = 0; i < acceptBatch; ++i) {
+        int connection = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (connection < 0)
+            return;
+        this->accepted(connection);
+    }
+}
+
+}
--- /dev/null
+++ b/libs/net/src/TcpStream.cpp
@@ -0,0 +1,245 @@
+#include "net/TcpStream.h"
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sequoia::net {
+
+namespace {
+
+constexpr std::size_t readChunk = 64 * 1024;
+// Unacknowledged bytes end the connection after this time, milliseconds; a partition sends no reset.
+constexpr int unacknowledgedLimitMillis = 5'000;
+// Buffers with more consumed bytes than this are compacted.
+constexpr std::size_t compactAbove = 64 * 1024;
+
+void configure(int descriptor)
+{
+    int one = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimitMillis,
+        sizeof unacknowledgedLimitMillis);
+}
+
+void dropPrefix(std::string& buffer, std::size_t& start)
+{
+    if (start == buffer.size()) {
+        buffer.clear();
+        start = 0;
+    } else if (start > compactAbove) {
+        buffer.erase(0, start);
+        start = 0;
+    }
+}
+
+}
+
+TcpStream::TcpStream(Reactor& owner, int accepted, StreamObserver& receiver)
+    : reactor(owner)
+    , observer(receiver)
+    , descriptor(accepted)
+{
+    configure(accepted);
+    this->updateEvents();
+}
+
+TcpStream::TcpStream(Reactor& owner, const SocketAddress& address, StreamObserver& receiver)
+    : reactor(owner)
+    , observer(receiver)
+    , descriptor(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
+    , connecting(true)
+{
+    if (this->descriptor >= 0) {
+        configure(this->descriptor);
+        int status = connect(this->descriptor, address.pointer(), sizeof address.value);
+        if (status == 0 || errno == EINPROGRESS) {
+            this->updateEvents();
+            return;
+        }
+        ::close(this->descriptor);
+        this->descriptor = -1;
+    }
+    this->deferEnd(StreamEnd::ConnectFailed);
+}
+
+TcpStream::~TcpStream()
+{
+    this->close();
+}
+
+std::string_view TcpStream::input() const
+{
+    return std::string_view(this->inputBuffer).substr(this->inputStart);
+}
+
+void TcpStream::consume(std::size_t bytes)
+{
+    assert(bytes <= this->inputBuffer.size() - this->inputStart);
+    this->inputStart += bytes;
+    dropPrefix(this->inputBuffer, this->inputStart);
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    if (!this->isOpen())
+        return;
+    bool idle = this->unsentBytes() == 0;
+    this->output.append(bytes);
+    if (idle && !this->connecting)
+        this->flush();
+}
+
+void TcpStream::setReading(bool enabled)
+{
+    if (this->reading == enabled)
+        return;
+    this->reading = enabled;
+    this->updateEvents();
+}
+
+bool TcpStream::hasPendingInput() const
+{
+    if (!this->input().empty() || this->peerFinished || !this->isOpen())
+        return true;
+    char byte = 0;
+    ssize_t count = recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+void TcpStream::finishWriting()
+{
+    this->finishAfterFlush = true;
+    if (this->isConnected() && this->unsentBytes() == 0)
+        shutdown(this->descriptor, SHUT_WR);
+}
+
+void TcpStream::close()
+{
+    if (!this->isOpen())
+        return;
+    this->reactor.forget(this->descriptor);
+    ::close(this->descriptor);
+    this->descriptor = -1;
+}
+
+void TcpStream::onIo(std::uint32_t events)
+{
+    if (this->connecting) {
+        this->completeConnect();
+        return;
+    }
+    if (this->peerFinished && (events & (EPOLLHUP | EPOLLERR))) {
+        this->fail(StreamEnd::Reset);
+        return;
+    }
+    if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+        this->readAvailable();
+    if (this->isOpen() && (events & EPOLLOUT))
+        this->flush();
+}
+
+void TcpStream::completeConnect()
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        this->fail(StreamEnd::ConnectFailed);
+        return;
+    }
+    this->connecting = false;
+    this->updateEvents();
+    this->observer.onConnected();
+    if (this->isOpen() && this->unsentBytes() > 0)
+        this->flush();
+}
+
+void TcpStream::readAvailable()
+{
+    static thread_local std::array<char, readChunk> chunk;
+    ssize_t count = recv(this->descriptor, chunk.data(), chunk.size(), 0);
+    if (count > 0) {
+        this->inputBuffer.append(chunk.data(), static_cast<std::size_t>(count));
+        this->observer.onInput();
+        return;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+        return;
+    if (count < 0) {
+        this->fail(StreamEnd::Reset);
+        return;
+    }
+    this->peerFinished = true;
+    this->updateEvents();
+    this->observer.onEnd(StreamEnd::Orderly);
+}
+
+void TcpStream::flush()
+{
+    while (this->unsentBytes() > 0) {
+        ssize_t count = send(this->descriptor, this->output.data() + this->outputStart, this->unsentBytes(),
+            MSG_NOSIGNAL);
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            break;
+        if (count < 0) {
+            // Deferred, since a caller of write() does not expect to be ended inside it.
+            this->close();
+            this->deferEnd(StreamEnd::Reset);
+            return;
+        }
+        this->outputStart += static_cast<std::size_t>(count);
+    }
+    dropPrefix(this->output, this->outputStart);
+    if (this->unsentBytes() > 0) {
+        this->updateEvents();
+        return;
+    }
+    bool waited = this->registered & EPOLLOUT;
+    this->updateEvents();
+    if (this->finishAfterFlush)
+        shutdown(this->descriptor, SHUT_WR);
+    if (waited)
+        this->observer.onDrained();
+}
+
+void TcpStream::updateEvents()
+{
+    if (!this->isOpen())
+        return;
+    std::uint32_t wanted = 0;
+    if (this->connecting || this->unsentBytes() > 0)
+        wanted |= EPOLLOUT;
+    if (!this->connecting && this->reading && !this->peerFinished)
+        wanted |= EPOLLIN;
+    if (wanted == this->registered && this->registered != 0)
+        return;
+    if (this->registered == 0)
+        this->reactor.watch(this->descriptor, wanted, *this);
+    else
+        this->reactor.modify(this->descriptor, wanted);
+    // Zero marks a descriptor that is not watched; EPOLLERR is always reported.
+    this->registered = wanted | EPOLLERR;
+}
+
+void TcpStream::deferEnd(StreamEnd end)
+{
+    this->reactor.defer([&target = this->observer, alive = std::weak_ptr<int>(this->lifetime), end] {
+        if (alive.lock())
+            target.onEnd(end);
+    });
+}
+
+void TcpStream::fail(StreamEnd end)
+{
+    this->close();
+    this->observer.onEnd(end);
+}
+
+}
--- /dev/null
+++ b/libs/net/src/UdpSocket.cpp
@@ -0,0 +1,66 @@
+#include "net/UdpSocket.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sequoia::net {
+
+namespace {
+
+constexpr std::size_t largestDatagram = 65'536;
+// Datagrams taken per iteration, so that other sockets are served between.
+constexpr int receiveBatch = 32;
+
+}
+
+Result<std::unique_ptr<UdpSocket>> UdpSocket::bind(Reactor& reactor, const SocketAddress& address, Received received)
+{
+    int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0 || ::bind(descriptor, address.pointer(), sizeof address.value) != 0) {
+        std::string reason = std::strerror(errno);
+        if (descriptor >= 0)
+            close(descriptor);
+        return Error { ErrorKind::Unavailable, "cannot bind UDP " + address.toString() + ": " + reason,
+            "check that the address belongs to this host and that no other program uses the port" };
+    }
+    return std::unique_ptr<UdpSocket>(new UdpSocket(reactor, descriptor, std::move(received)));
+}
+
+UdpSocket::UdpSocket(Reactor& owner, int bound, Received callback)
+    : reactor(owner)
+    , descriptor(bound)
+    , received(std::move(callback))
+{
+    this->reactor.watch(this->descriptor, EPOLLIN, *this);
+}
+
+UdpSocket::~UdpSocket()
+{
+    this->reactor.forget(this->descriptor);
+    close(this->descriptor);
+}
+
+void UdpSocket::send(std::string_view bytes, const SocketAddress& target)
+{
+    sendto(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL, target.pointer(), sizeof target.value);
+}
+
+void UdpSocket::onIo(std::uint32_t)
+{
+    static thread_local std::array<char, largestDatagram> buffer;
+    for (int i = 0; i < receiveBatch; ++i) {
+        SocketAddress sender;
+        socklen_t length = sizeof sender.value;
+        ssize_t count = recvfrom(this->descriptor, buffer.data(), buffer.size(), 0,
+            reinterpret_cast<sockaddr*>(&sender.value), &length);
+        if (count < 0)
+            return;
+        this->received(std::string_view(buffer.data(), static_cast<std::size_t>(count)), sender);
+    }
+}
+
+}
--- /dev/null
+++ b/libs/tenure/include/tenure/TenureMachine.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "core/Clock.h"
+#include "core/Random.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <peer.pb.h>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sequoia::tenure {
+
+using RowVersion = std::uint64_t;
+
+//! Times of the coordinator's tenure.
+struct TenureTerms {
+    Duration renewInterval = std::chrono::milliseconds(500);
+    //! The coordinator changes owners only this long after it sent its last successful renewal.
+    Duration validity = std::chrono::milliseconds(1000);
+    //! A row that stays unchanged for this time belongs to a coordinator that is gone. Longer than the validity.
+    Duration takeoverAfter = std::chrono::milliseconds(1300);
+    //! Without a beacon for this time, a host reads the row.
+    Duration beaconSilence = std::chrono::milliseconds(800);
+    Duration readInterval = std::chrono::milliseconds(400);
+    //! A coordinator without the store goes on renewing grants for this time at most.
+    Duration longestWithoutStore = std::chrono::seconds(30);
+    //! Wait before a takeover, at most; weak hosts wait longer, so that strong ones come first.
+    Duration takeoverSpread = std::chrono::milliseconds(150);
+    double strength = 1; //!< share of a processor core of this host
+};
+
+//! Read the coordinator's row and answer with rowRead() or readFailed().
+struct ReadRow { };
+
+//! Write the row, and the plans that are due, if the row has the version, and answer with writeDone().
+struct WriteRow {
+    std::uint64_t number = 0;
+    RowVersion expected = 0;
+    std::string value;
+    std::map<std::string, std::string> plans; //!< by service
+};
+
+struct BecameCoordinator {
+    std::uint64_t term = 0;
+};
+
+struct LostDuty {
+    std::string reason;
+};
+
+//! The plans of this write are stored.
+struct PlansWritten {
+    std::map<std::string, std::string> plans;
+};
+
+using TenureOutput = std::variant<ReadRow, WriteRow, BecameCoordinator, LostDuty, PlansWritten>;
+
+enum class WriteOutcome {
+    Written,
+    Conflict,
+    Failed, //!< Not done.
+    Unknown, //!< May have been done, or may be done later.
+};
+
+//! Which host coordinates: one row in the store names it, and it renews the row while it lives. Pure.
+//!
+//! Each write expects the version of the row that this host wrote last, so a host that has lost the duty can change
+//! nothing any more.
+class TenureMachine {
+public:
+    //! `now` is the time at which this process started.
+    TenureMachine(std::string incarnation, std::string address, TenureTerms terms, RandomEngine& random);
+
+    std::vector<TenureOutput> tick(TimePoint now);
+    std::vector<TenureOutput> rowRead(RowVersion version, const std::string& value, TimePoint now);
+    void readFailed();
+    std::vector<TenureOutput> writeDone(std::uint64_t number, WriteOutcome outcome, RowVersion version, TimePoint now);
+
+    //! The coordinator lives: a beacon of this term arrived.
+    std::vector<TenureOutput> beaconReceived(std::uint64_t term, bool resigned, TimePoint now);
+    //! Another host reports that it reaches the store while this coordinator does not.
+    std::vector<TenureOutput> peerReachesStore(TimePoint now);
+    //! The duty is given up, for example since this host stops.
+    std::vector<TenureOutput> resign(TimePoint now);
+    std::vector<TenureOutput> superseded(TimePoint now);
+
+    //! Adds a plan to the next write.
+    void queuePlan(const std::string& service, std::string plan);
+
+    bool isCoordinator() const { return this->leading; }
+    //! Whether owners may be changed now; to be checked right before each order.
+    bool mayChange(TimePoint now) const;
+    //! Whether grants may be renewed now.
+    bool mayRenew(TimePoint now) const;
+    bool storeSilent(TimePoint now) const;
+    std::uint64_t term() const { return this->currentTerm; }
+    bool isResigning() const { return this->resigning; }
+    //! Address for datagrams of the coordinator that this host knows; empty when there is none.
+    const std::string& coordinatorAddress() const { return this->knownAddress; }
+
+private:
+    std::vector<TenureOutput> lose(const std::string& reason);
+    WriteRow makeWrite(TimePoint now, bool renewal);
+    void followRow(RowVersion version, const wire::Tenure& row, TimePoint now);
+    Duration takeoverDelay();
+
+    std::string incarnation;
+    std::string address;
+    TenureTerms terms;
+    RandomEngine& random;
+
+    std::uint64_t currentTerm = 0;
+    std::string knownAddress;
+    std::optional<RowVersion> rowVersion; //!< as read or written last
+    TimePoint rowUnchangedSince {};
+    TimePoint lastBeacon {};
+    TimePoint lastRead {};
+    bool reading = false;
+    bool rowResigned = false;
+    std::optional<TimePoint> takeoverAt;
+
+    bool leading = false;
+    bool resigning = false;
+    bool resignationQueued = false;
+    std::uint64_t lastWriteNumber = 0;
+    std::optional<WriteRow> writeInProgress;
+    TimePoint writeSent {}; //!< when the write in progress was sent first
+    bool writeOutcomeOpen = false; //!< the write may have been done
+    TimePoint lastRenewal {}; //!< sending time of the last successful write
+    TimePoint lastWriteAttempt {};
+    TimePoint lastSuccess {};
+    std::map<std::string, std::string> queuedPlans;
+};
+
+}
--- /dev/null
+++ b/programs/node/src/CoordinationTask.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "coordination/Coordinator.h"
+#include "coordination/PlacementClient.h"
+#include "core/Random.h"
+#include "net/UdpSocket.h"
+#include "platform_adapter/OrderSender.h"
+#include "settings/Settings.h"
+#include "store/RowStore.h"
+#include "tenure/TenureMachine.h"
+#include "timeline/EventLog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sequoia::node {
+
+//! Carries out what the tenure, the coordinator and the placement client of this host decide: datagrams, rows, orders.
+class CoordinationTask {
+public:
+    //! When a row store last answered this host.
+    using StoreContact = std::function<TimePoint()>;
+
+    static Result<std::unique_ptr<CoordinationTask>> create(net::Reactor& reactor, const settings::Settings& settings,
+        timeline::EventLog& events, const std::string& incarnation, store::RowStore& store, StoreContact contact);
+    ~CoordinationTask();
+
+    void start();
+    void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration);
+    void setServers(const fleet::ServerMap& servers);
+    edge::Placer& placer() { return *this->placement; }
+    //! Whether jobs of keyed services can be placed.
+    bool isReady() const;
+    //! Hands the duty over, if this host has it.
+    void resign();
+    void closeIdle() { this->orders.closeIdle(); }
+
+    bool isCoordinator() const { return this->coordinator != nullptr; }
+    const coordination::Coordinator* coordinatorState() const { return this->coordinator.get(); }
+
+private:
+    CoordinationTask(net::Reactor& reactor, const settings::Settings& settings, timeline::EventLog& events,
+        const std::string& incarnation, store::RowStore& store, StoreContact contact);
+
+    void received(std::string_view bytes, const net::SocketAddress& sender);
+    void handle(const wire::Datagram& datagram, const std::string& sender);
+    void handleBeacon(const wire::Datagram& datagram);
+    void scheduleFlush();
+    void flush();
+    void send(const std::vector<coordination::Outgoing>& messages);
+    void scheduleTick();
+    void tick();
+    void report();
+    void execute(const std::vector<tenure::TenureOutput>& outputs);
+    void readRow();
+    void writeRow(const tenure::WriteRow& write);
+    void becomeCoordinator(std::uint64_t term);
+    void loadPlans(std::uint64_t term);
+    void loseDuty(const std::string& reason);
+    void runCoordinator();
+    void sendOrder(const keyspace::Order& order);
+    void plansWritten(const tenure::PlansWritten& written);
+
+    net::Reactor& reactor;
+    timeline::EventLog& events;
+    std::string incarnation;
+    std::string address;
+    store::RowStore& store;
+    StoreContact storeContact;
+    balance::SchedulerTerms scheduling;
+    keyspace::GrantTerms grantTerms;
+    RandomEngine random;
+    tenure::TenureMachine tenure;
+    std::unique_ptr<coordination::PlacementClient> placement;
+    std::unique_ptr<coordination::Coordinator> coordinator;
+    std::unique_ptr<net::UdpSocket> socket;
+    platform_adapter::OrderSender orders;
+    std::shared_ptr<const fleet::Configuration> configuration;
+    fleet::ServerMap servers;
+    std::uint64_t heardTerm = 0;
+    bool heardCoordinator = false;
+    bool flushScheduled = false;
+    TimePoint lastReport {};
+    TimePoint lastBeacon {};
+};
+
+}
--- /dev/null
+++ b/programs/node/src/NodeService.cpp
@@ -0,0 +1,131 @@
+#include "NodeService.h"
+
+#include "platform_adapter/Names.h"
+
+#include <algorithm>
+
+namespace sequoia::node {
+
+namespace {
+
+constexpr Duration sweepInterval = std::chrono::seconds(1);
+// The platform stops sending connections after two missed questions, a second apart.
+constexpr Duration outOfRotation = std::chrono::milliseconds(2600);
+// The process ends this long before it would be killed.
+constexpr Duration endMargin = std::chrono::milliseconds(400);
+constexpr Duration stopCheckInterval = std::chrono::milliseconds(100);
+
+}
+
+Result<std::unique_ptr<runtime::Service>> NodeService::create(const runtime::ProgramContext& context)
+{
+    std::unique_ptr<NodeService> service(new NodeService(context));
+    auto started = service->start(context);
+    if (!succeeded(started))
+        return errorOf(started);
+    return std::unique_ptr<runtime::Service>(std::move(service));
+}
+
+NodeService::NodeService(const runtime::ProgramContext& context)
+    : grace(context.settings.duration("edge", "grace"))
+    , events(context.events)
+    , reactor(g_main_context_default(), context.clock)
+    , store(this->reactor, context.settings.text("store", "address"),
+          context.settings.duration("store", "call_timeout"))
+{
+}
+
+NodeService::~NodeService() = default;
+
+Result<Done> NodeService::start(const runtime::ProgramContext& context)
+{
+    const auto& settings = context.settings;
+    auto coordinationTask = CoordinationTask::create(this->reactor, settings, this->events, context.incarnation,
+        this->store, [this] { return std::max(this->configuration->lastContact(), this->servers->lastContact()); });
+    if (!succeeded(coordinationTask))
+        return errorOf(coordinationTask);
+    this->coordination = std::move(valueOf(coordinationTask));
+    this->edge = std::make_unique<edge::EdgeServer>(
+        this->reactor, this->events, platform_adapter::headerNames(), this->coordination->placer());
+    this->configuration = std::make_unique<ConfigurationWatcher>(this->reactor, this->store, this->events,
+        [this](const std::shared_ptr<const fleet::Configuration>& current) {
+            this->edge->setConfiguration(current);
+            this->coordination->setConfiguration(current);
+        });
+    this->servers = std::make_unique<ServerWatcher>(
+        this->reactor, this->store, this->events, [this](const fleet::ServerMap& listed) {
+            for (const auto& [id, entry] : this->knownServers) {
+                auto found = listed.find(id);
+                if (found == listed.end() || found->second.life != entry.life)
+                    this->edge->forgetServer(id);
+            }
+            this->knownServers = listed;
+            this->coordination->setServers(listed);
+        });
+    auto readyAddress = net::SocketAddress::parse(settings.text("edge", "ready_listen"));
+    auto edgeAddress = net::SocketAddress::parse(settings.text("edge", "listen"));
+    if (!succeeded(readyAddress))
+        return errorOf(readyAddress);
+    if (!succeeded(edgeAddress))
+        return errorOf(edgeAddress);
+    auto endpoint = ReadyEndpoint::listen(
+        this->reactor, valueOf(readyAddress), [this](const std::string& path) { return this->page(path); });
+    if (!succeeded(endpoint))
+        return errorOf(endpoint);
+    this->ready = std::move(valueOf(endpoint));
+    auto listening = this->edge->listen(valueOf(edgeAddress));
+    if (!succeeded(listening))
+        return errorOf(listening);
+    this->configuration->start();
+    this->servers->start();
+    this->coordination->start();
+    this->sweep();
+    return Done {};
+}
+
+bool NodeService::isReady() const
+{
+    return !this->stopping && this->configuration->current() && !this->servers->servers().empty()
+        && this->coordination->isReady();
+}
+
+TextPage NodeService::page(const std::string& path) const
+{
+    if (path != platform_adapter::readyPath)
+        return { 404, "no such page\n" };
+    return this->isReady() ? TextPage { 200, "ready\n" } : TextPage { 503, "not ready\n" };
+}
+
+void NodeService::sweep()
+{
+    this->edge->closeIdleBackends();
+    this->coordination->closeIdle();
+    this->store.closeIdle();
+    this->reactor.scheduleAfter(sweepInterval, [this] { this->sweep(); });
+}
+
+void NodeService::stop(std::function<void()> finished)
+{
+    this->stopping = true;
+    this->stopStarted = this->reactor.now();
+    this->stopFinished = std::move(finished);
+    this->edge->startStopping();
+    this->coordination->resign();
+    this->continueStop();
+}
+
+void NodeService::continueStop()
+{
+    auto elapsed = this->reactor.now() - this->stopStarted;
+    bool drained = elapsed >= outOfRotation && this->edge->closeIdleConnections() == 0;
+    if (drained || elapsed >= this->grace - endMargin) {
+        this->events.record(timeline::Severity::Info, "stop_finished",
+            { { "connections_left", std::to_string(this->edge->connectionCount()) },
+                { "elapsed_ms", std::to_string(toMillis(elapsed)) } });
+        this->stopFinished();
+        return;
+    }
+    this->reactor.scheduleAfter(stopCheckInterval, [this] { this->continueStop(); });
+}
+
+}
--- /dev/null
+++ b/programs/node/src/NodeService.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "ConfigurationWatcher.h"
+#include "CoordinationTask.h"
+#include "ReadyEndpoint.h"
+#include "ServerWatcher.h"
+#include "edge/EdgeServer.h"
+#include "platform_adapter/StoreClient.h"
+#include "runtime/Program.h"
+
+#include <functional>
+#include <memory>
+
+namespace sequoia::node {
+
+//! The program of a host on the platform: one task that serves callers and takes part in coordination.
+class NodeService final : public runtime::Service {
+public:
+    static Result<std::unique_ptr<runtime::Service>> create(const runtime::ProgramContext& context);
+    ~NodeService() override;
+
+    void stop(std::function<void()> finished) override;
+
+private:
+    explicit NodeService(const runtime::ProgramContext& context);
+
+    Result<Done> start(const runtime::ProgramContext& context);
+    bool isReady() const;
+    TextPage page(const std::string& path) const;
+    void sweep();
+    void continueStop();
+
+    Duration grace;
+    timeline::EventLog& events;
+    net::Reactor reactor;
+    platform_adapter::StoreClient store;
+    std::unique_ptr<CoordinationTask> coordination;
+    std::unique_ptr<edge::EdgeServer> edge;
+    std::unique_ptr<ConfigurationWatcher> configuration;
+    std::unique_ptr<ServerWatcher> servers;
+    std::unique_ptr<ReadyEndpoint> ready;
+    fleet::ServerMap knownServers;
+    bool stopping = false;
+    TimePoint stopStarted {};
+    std::function<void()> stopFinished;
+};
+
+}
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -5,6 +5,7 @@
     build-essential clang clang-format clang-tidy cmake ninja-build ccache pkg-config git curl
     libglib2.0-dev libsoup-3.0-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
     liblog4cxx-dev libgflags-dev libboost-dev libxxhash-dev doctest-dev librapidcheck-dev libclang-rt-14-dev
+    nlohmann-json3-dev
 )
 missing=()
 for package in "${packages[@]}"; do
