--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -18,6 +18,8 @@
 constexpr Duration longestSuspension = std::chrono::milliseconds(1500);
 // Pause after a rejection: the queue of the server is full for about a service time.
 constexpr Duration rejectionPause = std::chrono::milliseconds(30);
+// Another server has the address, or the grant of the keys is not there yet; doubles with each one in a row.
+constexpr Duration wrongOwnerPause = std::chrono::milliseconds(25);
 // Losses in a row that suspend a server; a single one may concern the request only.
 constexpr unsigned lossesToSuspend = 2;
 constexpr double largestRelativeTime = 20;
@@ -86,6 +88,9 @@
             this->suspend(firstSuspension * (1U << std::min(this->failuresInRow - lossesToSuspend, 6U)), now);
         break;
     case JobResult::WrongOwner:
+        ++this->failuresInRow;
+        this->suspend(wrongOwnerPause * (1U << std::min(this->failuresInRow - 1, 6U)), now);
+        break;
     case JobResult::Abandoned:
         break;
     }
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -72,6 +72,7 @@
     Host& hostOf(const std::string& incarnation, const std::string& address);
     void applyReport(Host& host, const wire::Report& report);
     void submit(Host& host, const wire::Submit& message);
+    void answerPlaced(const std::string& address, std::uint64_t job, const std::string& server);
     void collect(const std::vector<balance::Decision>& decisions);
     wire::Datagram& answerTo(const std::string& address);
     std::vector<Outgoing> takeAnswers();
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -29,6 +29,8 @@
     void ended(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
 
     void setServers(const fleet::ServerMap& servers);
+    //! Hosts that share the allowance of repeats when each decides alone.
+    void setHostCount(std::uint32_t hosts);
     //! Whether a coordinator is known and answers; changes how new jobs are placed.
     void coordinatorHeard();
     void coordinatorLost();
@@ -57,7 +59,8 @@
     void sendSubmit(Pending& entry);
     void submitLocally(std::uint64_t number);
     void apply(const std::vector<balance::Decision>& decisions);
-    void placed(std::uint64_t number, const std::string& server, bool byCoordinator);
+    void placed(std::uint64_t number, const std::string& server, const std::string& address, bool byCoordinator);
+    std::string addressOf(const std::string& server) const;
     void refused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter);
     void queueEnd(std::uint64_t number, balance::JobResult result, Duration elapsed);
 
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -123,9 +123,7 @@
     balance::JobId id { host.number, message.job() };
     if (const auto* server = this->scheduler.placementOf(id)) {
         // The answer was lost.
-        auto* placement = this->answerTo(host.address).add_placements();
-        placement->set_job(message.job());
-        placement->set_server(*server);
+        this->answerPlaced(host.address, message.job(), *server);
         return;
     }
     if (this->scheduler.isWaiting(id)) {
@@ -143,6 +141,16 @@
         this->answerTo(host.address).add_queued()->set_job(message.job());
 }
 
+void Coordinator::answerPlaced(const std::string& address, std::uint64_t job, const std::string& server)
+{
+    auto* message = this->answerTo(address).add_placements();
+    message->set_job(job);
+    message->set_server(server);
+    auto entry = this->servers.find(server);
+    if (entry != this->servers.end())
+        message->set_address(entry->second.address);
+}
+
 void Coordinator::collect(const std::vector<balance::Decision>& decisions)
 {
     for (const auto& decision : decisions) {
@@ -151,11 +159,9 @@
         if (address == this->addressOfHost.end())
             continue;
         auto& answer = this->answerTo(address->second);
-        if (const auto* placement = std::get_if<balance::Placed>(&decision)) {
-            auto* message = answer.add_placements();
-            message->set_job(placement->job.number);
-            message->set_server(placement->server);
-        } else if (const auto* refusal = std::get_if<balance::Refused>(&decision)) {
+        if (const auto* placement = std::get_if<balance::Placed>(&decision))
+            this->answerPlaced(address->second, placement->job.number, placement->server);
+        else if (const auto* refusal = std::get_if<balance::Refused>(&decision)) {
             auto* message = answer.add_refusals();
             message->set_job(refusal->job.number);
             message->set_reason(static_cast<std::uint32_t>(refusal->reason));
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t repeatedEnds = 12;
 // Hosts that decide alone at the same time share the slots; their number is not known exactly then.
 constexpr double slotShareAlone = 0.3;
+// Until a beacon told how many hosts there are.
+constexpr std::uint32_t assumedHosts = 10;
 
 }
 
@@ -26,6 +28,7 @@
     , scheduler(terms, this->planCopy)
 {
     this->scheduler.setSlotShare(slotShareAlone);
+    this->setHostCount(assumedHosts);
 }
 
 PlacementClient::~PlacementClient() = default;
@@ -106,6 +109,11 @@
     this->scheduler.setServers(listed, this->clock.now());
 }
 
+void PlacementClient::setHostCount(std::uint32_t hosts)
+{
+    this->scheduler.setRepeatShare(1.0 / std::max(1U, hosts));
+}
+
 void PlacementClient::coordinatorHeard()
 {
     this->lastHeard = this->clock.now();
@@ -134,28 +142,32 @@
             found->second.acknowledged = true;
     }
     for (const auto& message : datagram.placements())
-        this->placed(message.job(), message.server(), true);
+        this->placed(message.job(), message.server(), message.address(), true);
     for (const auto& message : datagram.refusals())
         this->refused(message.job(), static_cast<balance::RefusalReason>(message.reason()),
             fromMillis(static_cast<std::int64_t>(message.retry_after_ms())));
 }
 
-void PlacementClient::placed(std::uint64_t number, const std::string& server, bool byCoordinator)
+void PlacementClient::placed(
+    std::uint64_t number, const std::string& server, const std::string& address, bool byCoordinator)
 {
     auto found = this->pending.find(number);
-    auto entry = this->servers.find(server);
-    if (found == this->pending.end() || found->second.remote != byCoordinator || entry == this->servers.end()) {
-        // The job ended meanwhile, or this host does not know the server yet: gives the slot back.
+    if (found == this->pending.end() || found->second.remote != byCoordinator) {
+        // The job ended meanwhile: gives the slot back.
         if (byCoordinator && !this->placedJobs.contains(number))
             this->queueEnd(number, balance::JobResult::Abandoned, {});
-        if (byCoordinator && found != this->pending.end() && found->second.remote)
-            this->submitLocally(number);
         return;
     }
     auto* observer = found->second.observer;
     this->pending.erase(found);
     this->placedJobs[number] = byCoordinator;
-    observer->onPlaced(number, entry->second);
+    observer->onPlaced(number, { server, address });
+}
+
+std::string PlacementClient::addressOf(const std::string& server) const
+{
+    auto entry = this->servers.find(server);
+    return entry == this->servers.end() ? std::string() : entry->second.address;
 }
 
 void PlacementClient::refused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter)
@@ -172,7 +184,7 @@
 {
     for (const auto& decision : decisions) {
         if (const auto* placement = std::get_if<balance::Placed>(&decision))
-            this->placed(placement->job.number, placement->server, false);
+            this->placed(placement->job.number, placement->server, this->addressOf(placement->server), false);
         else if (const auto* refusal = std::get_if<balance::Refused>(&decision))
             this->refused(refusal->job.number, refusal->reason, refusal->retryAfter);
     }
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -45,12 +45,14 @@
     net::SocketAddress address() const;
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
     //! A backend server is gone; its idle connections are closed.
-    void forgetServer(const std::string& id);
+    void forgetServer(const std::string& id, const std::string& address);
     //! Closes idle connections to backend servers that are too old; called about once a second.
     void closeIdleBackends() { this->backends.closeIdle(); }
 
     //! From now on, answers close their connections.
     void startStopping();
+    //! Takes no new connections.
+    void stopListening() { this->listener.reset(); }
     //! Closes connections without a request; returns how many connections are left.
     std::size_t closeIdleConnections();
 
--- a/libs/edge/include/edge/Placer.h
+++ b/libs/edge/include/edge/Placer.h
@@ -1,18 +1,23 @@
 #pragma once
 
 #include "balance/Job.h"
-#include "fleet/ServerEntry.h"
 
 #include <cstdint>
 #include <string>
 
 namespace sequoia::edge {
 
+//! The backend server that is to run a job.
+struct PlacementTarget {
+    std::string server;
+    std::string address;
+};
+
 //! Told where a job runs.
 class PlacementObserver {
 public:
     virtual ~PlacementObserver() = default;
-    virtual void onPlaced(std::uint64_t job, const fleet::ServerEntry& server) = 0;
+    virtual void onPlaced(std::uint64_t job, const PlacementTarget& target) = 0;
     virtual void onRefused(std::uint64_t job, balance::RefusalReason reason, Duration retryAfter) = 0;
 };
 
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -45,9 +45,9 @@
     this->split->clear();
 }
 
-void EdgeServer::forgetServer(const std::string& id)
+void EdgeServer::forgetServer(const std::string& id, const std::string& address)
 {
-    this->backends.forget(id);
+    this->backends.forget(id + "@" + address);
 }
 
 void EdgeServer::accept(int descriptor)
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -196,12 +196,12 @@
         this->answerOwn(503, retryAfter, text);
 }
 
-void Exchange::onPlaced(std::uint64_t number, const fleet::ServerEntry& target)
+void Exchange::onPlaced(std::uint64_t number, const PlacementTarget& target)
 {
     if (number != this->job)
         return;
     this->placed = true;
-    this->server = target;
+    this->server = target.server;
     this->attemptStart = this->context.reactor.now();
     auto address = net::SocketAddress::parse(target.address);
     if (!succeeded(address)) {
@@ -211,15 +211,15 @@
     }
     bool repeatable = this->route->kind == fleet::RequestKind::Idempotent;
     this->connection = &this->context.backends.acquire(
-        target.life.id, valueOf(address), repeatable ? idleForRepeatable : idleForOthers);
+        target.server + "@" + target.address, valueOf(address), repeatable ? idleForRepeatable : idleForOthers);
     this->bodySent = 0;
     this->bodyFinished = false;
     ++this->context.counters.attempts;
-    this->connection->start(this->requestHead(target), this->head.method == "HEAD", responseBuffer, *this);
+    this->connection->start(this->requestHead(target.server), this->head.method == "HEAD", responseBuffer, *this);
     this->pumpBody();
 }
 
-std::string Exchange::requestHead(const fleet::ServerEntry& target) const
+std::string Exchange::requestHead(const std::string& serverId) const
 {
     const auto& names = this->context.names;
     std::string text;
@@ -234,7 +234,7 @@
     }
     auto left = std::max<std::int64_t>(1, toMillis(this->limits.deadline - this->context.reactor.now()));
     text.append(names.deadline).append(": ").append(std::to_string(left)).append("\r\n");
-    text.append(names.expectedServer).append(": ").append(target.life.id).append("\r\n");
+    text.append(names.expectedServer).append(": ").append(serverId).append("\r\n");
     if (this->head.framing == http::Framing::Chunked)
         text.append("Transfer-Encoding: chunked\r\n");
     else if (this->head.framing == http::Framing::Length)
@@ -343,7 +343,7 @@
         ++this->attempts;
     // A key has one owner, which stays the only one to try.
     if (!this->key && result != balance::JobResult::Answered)
-        this->tried.push_back(this->server.life.id);
+        this->tried.push_back(this->server);
     auto ended = this->job;
     this->job = 0;
     this->placed = false;
@@ -452,7 +452,7 @@
             { "reason", reason }, { "route", this->route ? this->route->name : "" },
             { "config", std::to_string(this->configuration ? this->configuration->version : 0) },
             { "service", this->service }, { "key", this->key ? std::to_string(*this->key) : "" },
-            { "server", this->server.life.id }, { "attempts", std::to_string(this->attempts) },
+            { "server", this->server }, { "attempts", std::to_string(this->attempts) },
             { "age_ms", millis(now - this->arrived) }, { "left_ms", millis(this->limits.deadline - now) } });
 }
 
--- a/libs/edge/src/Exchange.h
+++ b/libs/edge/src/Exchange.h
@@ -43,7 +43,7 @@
         TimePoint deadline;
     };
 
-    void onPlaced(std::uint64_t job, const fleet::ServerEntry& server) override;
+    void onPlaced(std::uint64_t job, const PlacementTarget& target) override;
     void onRefused(std::uint64_t job, balance::RefusalReason reason, Duration retryAfter) override;
     void onSending() override { this->sent = true; }
     bool acceptsResponse(const http::Head& head) override;
@@ -55,7 +55,7 @@
     bool chooseTarget();
     Limits readLimits(const fleet::Route& route) const;
     void submit();
-    std::string requestHead(const fleet::ServerEntry& server) const;
+    std::string requestHead(const std::string& serverId) const;
     void pumpBody();
     void endAttempt(balance::JobResult result);
     bool mayRetry() const;
@@ -85,7 +85,7 @@
     std::uint32_t attempts = 0; //!< that reached a server
     bool mayHaveRun = false;
     std::vector<std::string> tried;
-    fleet::ServerEntry server;
+    std::string server; //!< of the last attempt
     client::ClientConnection* connection = nullptr;
     bool sent = false;
     TimePoint attemptStart {};
--- a/libs/keyspace/include/keyspace/GrantKeeper.h
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -107,6 +107,7 @@
         TimePoint confirmedUntil {}; //!< the owner holds the keys at least until then
         TimePoint nextOrder {};
         OrderId outstanding = 0;
+        OrderType outstandingType = OrderType::Grant;
         TimePoint orderSent {};
         unsigned unanswered = 0; //!< orders in a row
         std::string handover;
@@ -130,6 +131,7 @@
     void sendGrant(std::size_t index, TimePoint now, Outputs& outputs);
     Order makeOrder(std::size_t index, OrderType type, const fleet::ServerLife& server, fleet::Fence fence);
     void grantAnswered(std::size_t index, const OrderAnswer& answer, TimePoint now);
+    void setOutstanding(RangeState& state, const Order& order, TimePoint now);
     void releaseAnswered(std::size_t index, const OrderAnswer& answer);
     TimePoint holdEnd(TimePoint sent) const;
 
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -164,7 +164,8 @@
     }
     for (const auto& move : rebalance(this->current, load, usable)) {
         const auto& state = this->states[this->current.find(move.keys.first)];
-        if (state.stage != Stage::Steady || now - state.movedAt < restAfterMove)
+        // A renewal on its way would have to be waited for.
+        if (state.stage != Stage::Steady || state.outstanding != 0 || now - state.movedAt < restAfterMove)
             continue;
         this->applyMove(move, "load", outputs);
     }
@@ -181,10 +182,8 @@
     upper.keys.first = static_cast<fleet::Key>(key);
     this->current.ranges[index].keys.last = static_cast<fleet::Key>(key - 1);
     this->current.ranges.insert(this->current.ranges.begin() + static_cast<std::ptrdiff_t>(index) + 1, upper);
+    // Both parts wait for the answer to an order for the whole range.
     auto state = this->states[index];
-    // The answer to an order for the whole range is taken by the lower part; the upper part asks again.
-    state.outstanding = 0;
-    state.nextOrder = {};
     this->states.insert(this->states.begin() + static_cast<std::ptrdiff_t>(index) + 1, state);
     return index + 1;
 }
@@ -206,7 +205,6 @@
         }
         range.successor = Successor { move.target, ++this->current.lastFence };
         state.stage = Stage::Announced;
-        state.outstanding = 0;
         state.unanswered = 0;
         state.nextOrder = {};
     }
@@ -307,8 +305,7 @@
     if (!this->isReady(range.owner) || state.unanswered >= unansweredToStop)
         return;
     auto order = this->makeOrder(index, OrderType::Grant, range.owner, range.fence);
-    state.outstanding = order.id;
-    state.orderSent = now;
+    this->setOutstanding(state, order, now);
     state.heldBeforeOrder = state.heldUntil;
     state.heldUntil = this->holdEnd(now);
     state.nextOrder = now + this->terms.renewInterval;
@@ -320,8 +317,7 @@
     auto& range = this->current.ranges[index];
     auto& state = this->states[index];
     auto order = this->makeOrder(index, OrderType::Release, range.owner, range.fence);
-    state.outstanding = order.id;
-    state.orderSent = now;
+    this->setOutstanding(state, order, now);
     state.nextOrder = now + this->terms.orderRetry;
     outputs.orders.push_back(std::move(order));
 }
@@ -334,8 +330,7 @@
         return;
     auto order = this->makeOrder(index, OrderType::Grant, range.successor->server, range.successor->fence);
     order.handover = state.handover;
-    state.outstanding = order.id;
-    state.orderSent = now;
+    this->setOutstanding(state, order, now);
     state.heldBeforeOrder = state.successorHeldUntil;
     state.successorHeldUntil = this->holdEnd(now);
     state.nextOrder = now + this->terms.orderRetry;
@@ -359,22 +354,33 @@
     return order;
 }
 
+void GrantKeeper::setOutstanding(RangeState& state, const Order& order, TimePoint now)
+{
+    state.outstanding = order.id;
+    state.outstandingType = order.type;
+    state.orderSent = now;
+}
+
 void GrantKeeper::answered(OrderId order, const OrderAnswer& answer, TimePoint now)
 {
-    auto found = std::find_if(this->states.begin(), this->states.end(),
-        [&](const RangeState& state) { return state.outstanding == order; });
-    if (found == this->states.end())
-        return;
-    auto index = static_cast<std::size_t>(found - this->states.begin());
-    found->outstanding = 0;
-    if (answer.result == OrderResult::HigherFenceSeen) {
-        this->superseded = true;
+    if (order == 0)
         return;
+    // Several ranges, when the range of the order was split since.
+    for (std::size_t i = 0; i < this->states.size(); ++i) {
+        auto& state = this->states[i];
+        if (state.outstanding != order)
+            continue;
+        state.outstanding = 0;
+        if (answer.result == OrderResult::HigherFenceSeen) {
+            this->superseded = true;
+            return;
+        }
+        if (state.outstandingType == OrderType::Release) {
+            if (state.stage == Stage::Releasing)
+                this->releaseAnswered(i, answer);
+        } else if (state.stage == Stage::Steady || state.stage == Stage::Granting)
+            this->grantAnswered(i, answer, now);
     }
-    if (found->stage == Stage::Releasing)
-        this->releaseAnswered(index, answer);
-    else
-        this->grantAnswered(index, answer, now);
 }
 
 void GrantKeeper::releaseAnswered(std::size_t index, const OrderAnswer& answer)
--- a/libs/keyspace/src/KeyLoad.cpp
+++ b/libs/keyspace/src/KeyLoad.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Hot keys change within seconds, while a single request must not look like load.
-constexpr double forgetMicros = 2e6;
+constexpr double forgetMicros = 3e6;
 
 }
 
--- a/libs/keyspace/src/Rebalancer.cpp
+++ b/libs/keyspace/src/Rebalancer.cpp
@@ -10,6 +10,9 @@
 // A server is relieved when its utilisation exceeds the mean by this factor and is high enough to make callers wait.
 constexpr double relieveAbove = 1.25;
 constexpr double relieveLeastUtilization = 0.4;
+// Standard deviations of a Poisson count over the averaging time that a difference must exceed.
+constexpr double noiseFactor = 2;
+constexpr double averagingSeconds = 3;
 // Moves per decision; each one stops its keys for the running work.
 constexpr std::size_t movesPerDecision = 4;
 // Ranges per server that are worth their renewals.
@@ -126,6 +129,10 @@
         if (from == usage.rend() || from->utilization() < relieveAbove * mean
             || from->utilization() < relieveLeastUtilization)
             break;
+        // Differences that the chance of arrivals explains do not justify a move.
+        double noise = noiseFactor * std::sqrt(std::max(1.0, from->load) / averagingSeconds);
+        if (from->load < mean * from->capacity + noise)
+            break;
         given.push_back(from->server);
         double excess = (from->utilization() - mean) * from->capacity;
         double space = (mean - to.utilization()) * to.capacity;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -158,6 +158,7 @@
                     { "remedy", errorOf(plan).remedy } });
     }
     this->heardCoordinator = true;
+    this->placement->setHostCount(beacon.hosts());
     if (beacon.resigned())
         this->placement->coordinatorLost();
 }
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -57,7 +57,7 @@
             for (const auto& [id, entry] : this->knownServers) {
                 auto found = listed.find(id);
                 if (found == listed.end() || found->second.life != entry.life)
-                    this->edge->forgetServer(id);
+                    this->edge->forgetServer(id, entry.address);
             }
             this->knownServers = listed;
             this->coordination->setServers(listed);
@@ -117,7 +117,13 @@
 void NodeService::continueStop()
 {
     auto elapsed = this->reactor.now() - this->stopStarted;
-    bool drained = elapsed >= outOfRotation && this->edge->closeIdleConnections() == 0;
+    // Where many hosts of a data centre are out of rotation, the platform sends connections to all of them; from now
+    // on, these are refused, and no request is taken that could not be finished.
+    bool drained = false;
+    if (elapsed >= outOfRotation) {
+        this->edge->stopListening();
+        drained = this->edge->closeIdleConnections() == 0;
+    }
     if (drained || elapsed >= this->grace - endMargin) {
         this->events.record(timeline::Severity::Info, "stop_finished",
             { { "connections_left", std::to_string(this->edge->connectionCount()) },
