--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -121,7 +121,8 @@
 std::optional<Refused> Scheduler::admissionRefusal(Pool& pool, const Job& job, TimePoint now)
 {
     auto patience = std::max(Duration::zero(), job.deadline - now);
-    auto longestRetryAfter = Duration(static_cast<std::int64_t>(static_cast<double>(patience.count()) * callerPatience));
+    auto longestRetryAfter
+        = Duration(static_cast<std::int64_t>(static_cast<double>(patience.count()) * callerPatience));
     if (this->quarantine.isQuarantined(job.fingerprint))
         return Refused { job.id, RefusalReason::Quarantined, longestRetryAfter };
     if (job.attempt == 0)
@@ -265,8 +266,7 @@
         this->dispatchQueue(pool, name, now, decisions);
 }
 
-void Scheduler::dispatchQueue(
-    Pool& pool, const std::string& name, TimePoint now, std::vector<Decision>& decisions)
+void Scheduler::dispatchQueue(Pool& pool, const std::string& name, TimePoint now, std::vector<Decision>& decisions)
 {
     auto& queue = pool.queues[name];
     // Jobs that still make their target go first; late ones get what is left.
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -112,7 +112,8 @@
     double learned = 1 + (this->relativeTime - 1) * this->memory(now);
     double expected = learned * (now < this->coldUntil ? coldFactor : 1);
     for (const auto& [job, start] : this->jobs) {
-        double age = static_cast<double>((now - start).count()) / std::max(1.0, static_cast<double>(normalTime.count()));
+        double age
+            = static_cast<double>((now - start).count()) / std::max(1.0, static_cast<double>(normalTime.count()));
         if (age > overdueFactor * expected)
             expected = std::max(expected, age / overdueFactor);
     }
--- a/libs/client/include/client/ClientConnection.h
+++ b/libs/client/include/client/ClientConnection.h
@@ -48,7 +48,8 @@
 
     //! Starts an exchange; the connection must be idle. `responseBuffer` is the part of the body that is collected
     //! before it is passed on, so that short responses arrive whole or not at all.
-    void start(std::string_view bytes, bool withoutResponseBody, std::size_t responseBuffer, ExchangeObserver& observer);
+    void start(
+        std::string_view bytes, bool withoutResponseBody, std::size_t responseBuffer, ExchangeObserver& observer);
     //! More bytes of the request.
     void write(std::string_view bytes);
     //! The request is written completely. A response before that leaves the connection unusable.
--- a/libs/client/src/CallClient.cpp
+++ b/libs/client/src/CallClient.cpp
@@ -63,7 +63,8 @@
         if (this->connection)
             this->connection->abort();
         this->connection = nullptr;
-        this->client.finish(*this, wasSent ? this->unknown("no answer in time") : this->unavailable("no connection in time"));
+        this->client.finish(
+            *this, wasSent ? this->unknown("no answer in time") : this->unavailable("no connection in time"));
     }
 
     ClientConnection* connection = nullptr;
@@ -77,7 +78,8 @@
 
     Error unavailable(const std::string& reason) const
     {
-        return Error { ErrorKind::Unavailable, this->address + ": " + reason, "check that the peer runs, or try again" };
+        return Error { ErrorKind::Unavailable, this->address + ": " + reason,
+            "check that the peer runs, or try again" };
     }
 
     CallClient& client;
@@ -108,8 +110,7 @@
         this->reactor.defer([error, callback = std::move(callback)] { callback(error); });
         return;
     }
-    auto& pending = *this->pendingCalls.emplace_back(
-        std::make_unique<Pending>(*this, address, std::move(callback)));
+    auto& pending = *this->pendingCalls.emplace_back(std::make_unique<Pending>(*this, address, std::move(callback)));
     pending.timer = this->reactor.scheduleAfter(limit, [&pending] { pending.expire(); });
     pending.connection = &this->pool.acquire(address, valueOf(parsed), std::chrono::minutes(1));
     pending.connection->start(requestText(address, call), call.method == "HEAD", responseLimit, pending);
--- a/libs/client/src/ConnectionPool.cpp
+++ b/libs/client/src/ConnectionPool.cpp
@@ -28,8 +28,7 @@
     return std::min(used, this->idleLimit);
 }
 
-ClientConnection& ConnectionPool::acquire(
-    const std::string& peer, const net::SocketAddress& address, Duration maxIdle)
+ClientConnection& ConnectionPool::acquire(const std::string& peer, const net::SocketAddress& address, Duration maxIdle)
 {
     auto now = this->reactor.now();
     auto& list = this->idle[peer];
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -23,8 +23,8 @@
 //! hosts, so that waiting, order and refusal are decided in one place with exact numbers. Pure.
 class Coordinator final : private balance::OwnerLookup {
 public:
-    Coordinator(const Clock& clock, std::uint64_t term, balance::SchedulerTerms scheduling,
-        keyspace::GrantTerms grants);
+    Coordinator(
+        const Clock& clock, std::uint64_t term, balance::SchedulerTerms scheduling, keyspace::GrantTerms grants);
     ~Coordinator() override;
 
     //! The plans that are stored; once, before anything is placed.
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -17,8 +17,8 @@
 
 }
 
-Coordinator::Coordinator(const Clock& source, std::uint64_t term, balance::SchedulerTerms scheduling,
-    keyspace::GrantTerms grants)
+Coordinator::Coordinator(
+    const Clock& source, std::uint64_t term, balance::SchedulerTerms scheduling, keyspace::GrantTerms grants)
     : clock(source)
     , currentTerm(term)
     , grantTerms(grants)
@@ -313,8 +313,8 @@
 
 bool Coordinator::isSuperseded() const
 {
-    return std::any_of(this->keyed.begin(), this->keyed.end(),
-        [](const auto& entry) { return entry.second.keeper->isSuperseded(); });
+    return std::any_of(
+        this->keyed.begin(), this->keyed.end(), [](const auto& entry) { return entry.second.keeper->isSuperseded(); });
 }
 
 }
--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -230,8 +230,8 @@
         head.headers.add("Retry-After", secondsText(retryAfter));
     std::string body = reason + "\n";
     bool headOnly = this->parser && this->parser->headComplete() && this->parser->head().method == "HEAD";
-    auto text = responseHead(
-        head, "Content-Length: " + std::to_string(body.size()) + "\r\n", this->closesAfterAnswer());
+    auto text
+        = responseHead(head, "Content-Length: " + std::to_string(body.size()) + "\r\n", this->closesAfterAnswer());
     this->stream.write(headOnly ? text : text + body);
     this->finishExchange();
 }
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -12,8 +12,7 @@
 
 }
 
-EdgeServer::EdgeServer(
-    net::Reactor& owner, timeline::EventLog& events, HeaderNames headerNames, Placer& placer)
+EdgeServer::EdgeServer(net::Reactor& owner, timeline::EventLog& events, HeaderNames headerNames, Placer& placer)
     : reactor(owner)
     , names(std::move(headerNames))
     , backends(owner, backendIdleLimit)
--- a/libs/http/src/Head.cpp
+++ b/libs/http/src/Head.cpp
@@ -28,9 +28,8 @@
 bool equalsIgnoringCase(std::string_view left, std::string_view right)
 {
     return left.size() == right.size()
-        && std::equal(left.begin(), left.end(), right.begin(), [](unsigned char a, unsigned char b) {
-               return std::tolower(a) == std::tolower(b);
-           });
+        && std::equal(left.begin(), left.end(), right.begin(),
+            [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
 }
 
 void Headers::add(std::string_view name, std::string_view value)
--- a/libs/keyspace/include/keyspace/KeyLoad.h
+++ b/libs/keyspace/include/keyspace/KeyLoad.h
@@ -18,10 +18,7 @@
 
     //! Requests per second of keys below `key`; a range's load is a difference of two.
     double below(std::uint32_t key) const { return this->sums[key]; }
-    double of(fleet::KeyRange keys) const
-    {
-        return this->sums[std::uint32_t(keys.last) + 1] - this->sums[keys.first];
-    }
+    double of(fleet::KeyRange keys) const { return this->sums[std::uint32_t(keys.last) + 1] - this->sums[keys.first]; }
 
 private:
     std::vector<float> rates;
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -195,8 +195,8 @@
     for (std::size_t i = begin; i < end; ++i) {
         auto& range = this->current.ranges[i];
         auto& state = this->states[i];
-        outputs.events.push_back({ "keys_move", range.keys, range.owner.id, move.target.id,
-            this->current.lastFence + 1, reason });
+        outputs.events.push_back(
+            { "keys_move", range.keys, range.owner.id, move.target.id, this->current.lastFence + 1, reason });
         if (range.successor && state.stage == Stage::Granting) {
             // The successor may hold the keys by now, so it becomes the owner that has to let them go.
             range.owner = range.successor->server;
@@ -220,10 +220,9 @@
         auto& right = this->current.ranges[i + 1];
         auto& leftState = this->states[i];
         auto& rightState = this->states[i + 1];
-        bool steady = leftState.stage == Stage::Steady && rightState.stage == Stage::Steady
-            && leftState.unanswered == 0 && rightState.unanswered == 0 && leftState.confirmedUntil > now
-            && rightState.confirmedUntil > now && now - leftState.movedAt > restAfterMove
-            && now - rightState.movedAt > restAfterMove;
+        bool steady = leftState.stage == Stage::Steady && rightState.stage == Stage::Steady && leftState.unanswered == 0
+            && rightState.unanswered == 0 && leftState.confirmedUntil > now && rightState.confirmedUntil > now
+            && now - leftState.movedAt > restAfterMove && now - rightState.movedAt > restAfterMove;
         if (!steady || left.owner != right.owner || left.owner.id.empty() || left.fence != right.fence) {
             ++i;
             continue;
@@ -337,8 +336,7 @@
     outputs.orders.push_back(std::move(order));
 }
 
-Order GrantKeeper::makeOrder(
-    std::size_t index, OrderType type, const fleet::ServerLife& server, fleet::Fence fence)
+Order GrantKeeper::makeOrder(std::size_t index, OrderType type, const fleet::ServerLife& server, fleet::Fence fence)
 {
     Order order;
     order.id = ++this->lastOrder;
--- a/libs/keyspace/src/Rebalancer.cpp
+++ b/libs/keyspace/src/Rebalancer.cpp
@@ -89,7 +89,8 @@
             continue;
         for (bool fromFront : { true, false }) {
             auto candidate = endOfRange(load, range.keys, wanted, fromFront);
-            if (candidate && (!best || candidate->load > best->load * 1.1
+            if (candidate
+                && (!best || candidate->load > best->load * 1.1
                     || (candidate->load > best->load * 0.9 && candidate->keys.size() < best->keys.size())))
                 best = candidate;
         }
@@ -99,8 +100,8 @@
 
 std::size_t rangesOf(const KeyPlan& plan, const fleet::ServerLife& server)
 {
-    return static_cast<std::size_t>(std::count_if(plan.ranges.begin(), plan.ranges.end(),
-        [&](const PlannedRange& range) { return range.owner == server; }));
+    return static_cast<std::size_t>(std::count_if(
+        plan.ranges.begin(), plan.ranges.end(), [&](const PlannedRange& range) { return range.owner == server; }));
 }
 
 }
@@ -122,9 +123,8 @@
     std::vector<fleet::ServerLife> given;
     while (moves.size() < movesPerDecision) {
         std::sort(usage.begin(), usage.end(), less);
-        auto from = std::find_if(usage.rbegin(), usage.rend(), [&](const Usage& entry) {
-            return std::find(given.begin(), given.end(), entry.server) == given.end();
-        });
+        auto from = std::find_if(usage.rbegin(), usage.rend(),
+            [&](const Usage& entry) { return std::find(given.begin(), given.end(), entry.server) == given.end(); });
         auto& to = usage.front();
         if (from == usage.rend() || from->utilization() < relieveAbove * mean
             || from->utilization() < relieveLeastUtilization)
--- /dev/null
+++ b/libs/keyspace/tests/GrantKeeperTest.cpp
@@ -0,0 +1,223 @@
+#include "KeeperSimulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoia;
+using namespace sequoia::keyspace;
+using testing::KeeperSimulation;
+
+namespace {
+
+constexpr Duration runTime = std::chrono::seconds(60);
+constexpr std::uint64_t seeds = 20;
+
+//! Runs each seed under the faults, then without any, and checks that all keys have an owner again.
+void runSeeds(KeeperSimulation::Faults faults)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        KeeperSimulation simulation(seed, faults);
+        CHECK(simulation.run(runTime) == "");
+    }
+}
+
+fleet::ServerMap servers(std::initializer_list<const char*> ids)
+{
+    fleet::ServerMap map;
+    for (const auto* id : ids) {
+        fleet::ServerEntry entry;
+        entry.life = { id, 1 };
+        entry.service = "s";
+        entry.address = "127.0.0.1:1";
+        map[id] = entry;
+    }
+    return map;
+}
+
+Capacities capacitiesOf(const fleet::ServerMap& map)
+{
+    Capacities capacities;
+    for (const auto& [id, entry] : map)
+        capacities[entry.life] = 10;
+    return capacities;
+}
+
+//! A keeper with its own store and servers that answer at once, for single steps.
+class StepByStep {
+public:
+    explicit StepByStep(fleet::ServerMap listed)
+        : keeper(KeyPlan::unowned("s"), 1, GrantTerms {}, this->now)
+    {
+        this->list(listed);
+    }
+
+    void list(const fleet::ServerMap& listed)
+    {
+        this->keeper.setServers(listed);
+        this->keeper.setCapacities(capacitiesOf(listed));
+    }
+
+    std::vector<Order> tick(Duration time)
+    {
+        this->now += time;
+        auto outputs = this->keeper.tick(this->load, this->now);
+        if (outputs.write) {
+            this->keeper.written(outputs.write->sequence, this->now);
+            this->writes.push_back(*outputs.write);
+            auto more = this->keeper.tick(this->load, this->now);
+            std::move(more.orders.begin(), more.orders.end(), std::back_inserter(outputs.orders));
+        }
+        return outputs.orders;
+    }
+
+    void accept(const std::vector<Order>& orders)
+    {
+        for (const auto& order : orders)
+            this->keeper.answered(order.id, { OrderResult::Accepted, "state" }, this->now);
+    }
+
+    TimePoint now { std::chrono::seconds(1000) };
+    KeyLoad load;
+    GrantKeeper keeper;
+    std::vector<KeyPlan> writes;
+};
+
+}
+
+TEST_CASE("without faults every key gets an owner within a second and keeps it")
+{
+    KeeperSimulation simulation(1, {});
+    CHECK(simulation.run(std::chrono::seconds(1)) == "");
+    CHECK(simulation.ownedShare() == 1);
+    CHECK(simulation.run(std::chrono::seconds(20)) == "");
+    CHECK(simulation.ownedShare() == 1);
+}
+
+// Guards against two owners when orders or their answers are lost.
+TEST_CASE("no key has two owners while orders and answers are lost")
+{
+    runSeeds({ 0.1, 0.1, 0, false, false, false, false });
+}
+
+// Guards against two owners when a renewal is overtaken by the release of the same keys.
+TEST_CASE("no key has two owners while orders overtake each other")
+{
+    runSeeds({ 0, 0, 0.5, false, true, false, false });
+}
+
+TEST_CASE("no key has two owners while servers restart, drain, and leave the list without ending")
+{
+    runSeeds({ 0, 0, 0.2, true, true, true, false });
+}
+
+TEST_CASE("no key has two owners while coordinators follow each other")
+{
+    runSeeds({ 0, 0, 0.2, true, true, false, true });
+}
+
+TEST_CASE("no key has two owners under all faults at once")
+{
+    runSeeds({ 0.05, 0.05, 0.3, true, true, true, true });
+}
+
+// Guards against an order that no stored plan explains: its fence could be given out a second time.
+TEST_CASE("a plan is written before the first order, and a change of owner before its release")
+{
+    StepByStep steps(servers({ "a", "b" }));
+    auto outputs = steps.keeper.tick(steps.load, steps.now);
+    REQUIRE(outputs.write);
+    CHECK(outputs.orders.empty());
+    CHECK(steps.keeper.tick(steps.load, steps.now + std::chrono::milliseconds(50)).orders.empty());
+}
+
+// Found by a bench day (hinagiku-gw scale-1): keys were released while a renewal of them was on its way, and the
+// renewal gave them to the old owner again.
+TEST_CASE("keys are released only after the renewal on its way was answered")
+{
+    StepByStep steps(servers({ "a", "b" }));
+    steps.accept(steps.tick(std::chrono::milliseconds(10)));
+    auto renewals = steps.tick(std::chrono::milliseconds(1100));
+    REQUIRE(renewals.size() == 2);
+    auto listed = servers({ "a", "b" });
+    listed["a"].state = fleet::ServerState::Draining;
+    steps.list(listed);
+    for (const auto& order : steps.tick(std::chrono::milliseconds(10)))
+        CHECK(order.type != OrderType::Release);
+    steps.accept(renewals);
+    auto orders = steps.tick(std::chrono::milliseconds(10));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].type == OrderType::Release);
+    CHECK(orders[0].server.id == "a");
+}
+
+// Guards against keys that come without their state although the old owner gave it.
+TEST_CASE("the handover of a release goes to the next owner, under a higher fence")
+{
+    StepByStep steps(servers({ "a", "b" }));
+    auto first = steps.tick(std::chrono::milliseconds(10));
+    steps.accept(first);
+    auto listed = servers({ "a", "b" });
+    listed["a"].state = fleet::ServerState::Draining;
+    steps.list(listed);
+    auto releases = steps.tick(std::chrono::milliseconds(10));
+    REQUIRE(releases.size() == 1);
+    steps.accept(releases);
+    auto grants = steps.tick(std::chrono::milliseconds(10));
+    REQUIRE(grants.size() == 1);
+    CHECK(grants[0].server.id == "b");
+    CHECK(grants[0].handover == "state");
+    CHECK(grants[0].fence > releases[0].fence);
+}
+
+// Guards against a lost server whose keys nobody gets, and against a second owner before its hold is over.
+TEST_CASE("the keys of a silent server move when its hold is over, and not before")
+{
+    StepByStep steps(servers({ "a", "b" }));
+    steps.accept(steps.tick(std::chrono::milliseconds(10)));
+    auto lastConfirmed = steps.now;
+    std::optional<TimePoint> moved;
+    for (int i = 0; i < 1000 && !moved; ++i) {
+        for (const auto& order : steps.tick(std::chrono::milliseconds(10))) {
+            if (order.server.id == "a") {
+                steps.keeper.answered(order.id, { OrderResult::NotSent, {} }, steps.now);
+                continue;
+            }
+            steps.accept({ order });
+            if (order.fence > 2)
+                moved = steps.now;
+        }
+    }
+    REQUIRE(moved);
+    GrantTerms terms;
+    CHECK(*moved >= lastConfirmed + terms.holdTime);
+    CHECK(*moved <= lastConfirmed + terms.holdTime + std::chrono::seconds(2));
+}
+
+// Guards against a server that restarted under its id and is taken for the owner that it was.
+TEST_CASE("a server that started anew gets its keys under a new fence at once")
+{
+    StepByStep steps(servers({ "a" }));
+    auto first = steps.tick(std::chrono::milliseconds(10));
+    REQUIRE(first.size() == 1);
+    steps.accept(first);
+    CHECK(steps.keeper.ownerOf(7, steps.now).ownership == balance::Ownership::Owned);
+    auto listed = servers({ "a" });
+    listed["a"].life.bornMillis = 2;
+    steps.list(listed);
+    CHECK(steps.keeper.ownerOf(7, steps.now).ownership != balance::Ownership::Owned);
+    auto orders = steps.tick(std::chrono::milliseconds(10));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].type == OrderType::Grant);
+    CHECK(orders[0].server.bornMillis == 2);
+    CHECK(orders[0].fence > first[0].fence);
+}
+
+// Guards against a coordinator that goes on after another one took over.
+TEST_CASE("a keeper stops when a server has seen a higher fence")
+{
+    StepByStep steps(servers({ "a" }));
+    auto orders = steps.tick(std::chrono::milliseconds(10));
+    steps.keeper.answered(orders[0].id, { OrderResult::HigherFenceSeen, {} }, steps.now);
+    CHECK(steps.keeper.isSuperseded());
+    CHECK(steps.tick(std::chrono::seconds(2)).empty());
+}
--- /dev/null
+++ b/libs/keyspace/tests/KeeperSimulation.cpp
@@ -0,0 +1,250 @@
+#include "KeeperSimulation.h"
+
+#include <algorithm>
+
+namespace sequoia::keyspace::testing {
+
+namespace {
+
+constexpr Duration step = std::chrono::milliseconds(10);
+constexpr int serverCount = 5;
+// Orders that arrive this late count as held up on their way; the promise excepts them.
+constexpr Duration longestDelay = std::chrono::milliseconds(300);
+
+}
+
+OrderAnswer FakeServer::grant(const Order& order, TimePoint arrived)
+{
+    for (auto& [first, fence] : this->seen) {
+        if (order.keys.contains(first) && fence > order.fence)
+            return { OrderResult::HigherFenceSeen, {} };
+    }
+    for (const auto& hold : this->holdings) {
+        bool overlaps = hold.keys.first <= order.keys.last && order.keys.first <= hold.keys.last;
+        if (overlaps && hold.fence > order.fence)
+            return { OrderResult::HigherFenceSeen, {} };
+    }
+    this->release(order);
+    this->holdings.push_back({ order.keys, order.fence, arrived + order.holdTime });
+    auto& fence = this->seen[order.keys.first];
+    fence = std::max(fence, order.fence);
+    return { OrderResult::Accepted, {} };
+}
+
+OrderAnswer FakeServer::release(const Order& order)
+{
+    std::vector<Hold> kept;
+    for (const auto& hold : this->holdings) {
+        bool overlaps = hold.keys.first <= order.keys.last && order.keys.first <= hold.keys.last;
+        if (!overlaps || hold.fence > order.fence) {
+            kept.push_back(hold);
+            continue;
+        }
+        if (hold.keys.first < order.keys.first)
+            kept.push_back(
+                { { hold.keys.first, static_cast<fleet::Key>(order.keys.first - 1) }, hold.fence, hold.end });
+        if (hold.keys.last > order.keys.last)
+            kept.push_back({ { static_cast<fleet::Key>(order.keys.last + 1), hold.keys.last }, hold.fence, hold.end });
+    }
+    this->holdings = std::move(kept);
+    return { OrderResult::Accepted, "handover" };
+}
+
+bool FakeServer::holds(fleet::Key key, TimePoint now) const
+{
+    return std::any_of(this->holdings.begin(), this->holdings.end(),
+        [&](const Hold& hold) { return hold.keys.contains(key) && now < hold.end; });
+}
+
+KeeperSimulation::KeeperSimulation(std::uint64_t seed, Faults injected)
+    : random(seed)
+    , faults(injected)
+{
+    for (int i = 0; i < serverCount; ++i) {
+        fleet::ServerEntry entry;
+        entry.life = { "s" + std::to_string(i), this->lastBorn };
+        entry.service = "s";
+        entry.address = "10.0.0." + std::to_string(i) + ":1";
+        this->listed[entry.life.id] = entry;
+        this->servers.emplace_back(entry.life);
+    }
+}
+
+bool KeeperSimulation::chance(double probability)
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
+}
+
+void KeeperSimulation::publish()
+{
+    if (this->keeper)
+        this->keeper->setServers(this->listed);
+}
+
+std::string KeeperSimulation::run(Duration time)
+{
+    auto end = this->now + time;
+    while (this->now < end) {
+        this->now += step;
+        this->disturb();
+        this->tickKeeper();
+        this->deliver();
+        auto violation = this->check();
+        if (!violation.empty())
+            return "after " + std::to_string(toMillis(this->now) - 1'000'000) + " ms: " + violation;
+    }
+    return {};
+}
+
+void KeeperSimulation::disturb()
+{
+    // Rates per second are these times a hundred.
+    auto any = [&] {
+        auto at = this->listed.begin();
+        std::advance(at, std::uniform_int_distribution<std::size_t>(0, this->listed.size() - 1)(this->random));
+        return at;
+    };
+    if (this->faults.serversRestart && this->chance(0.003)) {
+        auto entry = any();
+        auto life = entry->second.life;
+        this->servers.remove_if([&](const FakeServer& server) { return server.life.id == life.id; });
+        entry->second.life.bornMillis = ++this->lastBorn;
+        this->servers.emplace_back(entry->second.life);
+        this->publish();
+    }
+    if (this->faults.serversDrain && this->chance(0.003)) {
+        auto entry = any();
+        entry->second.state = entry->second.state == fleet::ServerState::Ready ? fleet::ServerState::Draining
+                                                                               : fleet::ServerState::Ready;
+        this->publish();
+    }
+    if (this->faults.serversVanish && this->listed.size() > 2 && this->chance(0.002)) {
+        this->listed.erase(any());
+        this->publish();
+    }
+    if (this->faults.serversVanish && this->listed.size() < serverCount && this->chance(0.005)) {
+        for (const auto& server : this->servers) {
+            if (this->listed.contains(server.life.id))
+                continue;
+            fleet::ServerEntry entry;
+            entry.life = server.life;
+            entry.service = "s";
+            entry.address = "10.0.0.9:1";
+            this->listed[server.life.id] = entry;
+            break;
+        }
+        this->publish();
+    }
+    // A new coordinator writes under its term first, so the old one changes nothing any more.
+    bool replace = this->faults.coordinatorsChange && this->chance(0.002);
+    if (!this->keeper || replace) {
+        this->write.reset();
+        auto plan = this->stored.value_or(KeyPlan::unowned("s"));
+        this->keeper = std::make_unique<GrantKeeper>(plan, ++this->keeperNumber, GrantTerms {}, this->now);
+        this->publish();
+    }
+    if (this->chance(0.2))
+        this->load.note(static_cast<fleet::Key>(std::uniform_int_distribution<int>(0, 3000)(this->random)));
+}
+
+void KeeperSimulation::tickKeeper()
+{
+    if (toMillis(this->now) % 250 == 0) {
+        this->load.advance(this->now);
+        Capacities capacities;
+        for (const auto& [id, entry] : this->listed)
+            capacities[entry.life] = 5;
+        this->keeper->setCapacities(capacities);
+    }
+    auto outputs = this->keeper->tick(this->load, this->now);
+    if (outputs.write)
+        this->write.emplace(this->now + std::chrono::milliseconds(20), *outputs.write);
+    for (const auto& order : outputs.orders)
+        this->send(order);
+    if (this->write && this->now >= this->write->first) {
+        this->stored = this->write->second;
+        auto sequence = this->write->second.sequence;
+        this->write.reset();
+        this->keeper->written(sequence, this->now);
+    }
+}
+
+void KeeperSimulation::send(const Order& order)
+{
+    auto delay = this->chance(this->faults.renewalDelay)
+        ? Duration(std::uniform_int_distribution<std::int64_t>(0, longestDelay.count())(this->random))
+        : Duration(std::chrono::milliseconds(10));
+    InFlight message { order, this->keeperNumber, this->now + delay, std::nullopt, std::nullopt, false };
+    if (this->chance(this->faults.orderLost)) {
+        message.carriedOut = true;
+        message.answers = this->now + std::chrono::milliseconds(700);
+        message.answer = OrderAnswer { OrderResult::Unknown, {} };
+    }
+    this->network.push_back(std::move(message));
+}
+
+void KeeperSimulation::deliver()
+{
+    for (auto& message : this->network) {
+        if (message.carriedOut || this->now < message.arrives)
+            continue;
+        message.carriedOut = true;
+        auto server = std::find_if(this->servers.begin(), this->servers.end(),
+            [&](const FakeServer& candidate) { return candidate.life == message.order.server; });
+        message.answers = this->now + std::chrono::milliseconds(10);
+        if (server == this->servers.end())
+            message.answer = OrderAnswer { OrderResult::NotSent, {} };
+        else if (message.order.type == OrderType::Grant)
+            message.answer = server->grant(message.order, this->now);
+        else
+            message.answer = server->release(message.order);
+        if (this->chance(this->faults.answerLost)) {
+            message.answer = OrderAnswer { OrderResult::Unknown, {} };
+            message.answers = this->now + std::chrono::milliseconds(700);
+        }
+    }
+    for (auto message = this->network.begin(); message != this->network.end();) {
+        if (!message->answers || this->now < *message->answers) {
+            ++message;
+            continue;
+        }
+        if (message->keeper == this->keeperNumber)
+            this->keeper->answered(message->order.id, *message->answer, this->now);
+        message = this->network.erase(message);
+    }
+}
+
+std::string KeeperSimulation::check() const
+{
+    // Ranges begin at few keys, so their borders and a grid are enough.
+    std::set<fleet::Key> keys;
+    for (const auto& range : this->keeper->plan().ranges) {
+        keys.insert(range.keys.first);
+        keys.insert(range.keys.last);
+    }
+    for (auto key : keys) {
+        std::string holders;
+        int count = 0;
+        for (const auto& server : this->servers) {
+            if (!server.holds(key, this->now))
+                continue;
+            ++count;
+            holders += " " + server.life.id;
+        }
+        if (count > 1)
+            return "key " + std::to_string(key) + " is held by" + holders;
+    }
+    return {};
+}
+
+double KeeperSimulation::ownedShare() const
+{
+    double owned = 0;
+    for (const auto& range : this->keeper->plan().ranges) {
+        if (this->keeper->ownerOf(range.keys.first, this->now).ownership == balance::Ownership::Owned)
+            owned += range.keys.size();
+    }
+    return owned / fleet::keyCount;
+}
+
+}
--- /dev/null
+++ b/libs/keyspace/tests/KeyPlanTest.cpp
@@ -0,0 +1,56 @@
+#include "keyspace/KeyPlan.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoia;
+using namespace sequoia::keyspace;
+
+namespace {
+
+KeyPlan examplePlan()
+{
+    KeyPlan plan;
+    plan.service = "ledger";
+    plan.term = 3;
+    plan.sequence = 9;
+    plan.lastFence = 12;
+    plan.ranges.push_back({ { 0, 999 }, { "a", 5 }, 11, std::nullopt });
+    plan.ranges.push_back({ { 1000, 65535 }, { "b", 6 }, 7, Successor { { "a", 5 }, 12 } });
+    return plan;
+}
+
+}
+
+// Guards against an owner that changes when a plan is stored and read again.
+TEST_CASE("a plan is read as it was written")
+{
+    auto plan = examplePlan();
+    auto read = KeyPlan::parse(plan.serialize());
+    REQUIRE(succeeded(read));
+    CHECK(valueOf(read).ranges == plan.ranges);
+    CHECK(valueOf(read).term == 3);
+    CHECK(valueOf(read).lastFence == 12);
+    CHECK(valueOf(read).find(999) == 0);
+    CHECK(valueOf(read).find(1000) == 1);
+}
+
+// Guards against a damaged row that would give a key two owners, or reuse a fence.
+TEST_CASE("a plan with a gap, an overlap, an unknown server or a fence above the last one is refused")
+{
+    auto gap = examplePlan();
+    gap.ranges[1].keys.first = 1001;
+    CHECK_FALSE(succeeded(KeyPlan::parse(gap.serialize())));
+    auto overlap = examplePlan();
+    overlap.ranges[1].keys.first = 999;
+    CHECK_FALSE(succeeded(KeyPlan::parse(overlap.serialize())));
+    auto shortPlan = examplePlan();
+    shortPlan.ranges.pop_back();
+    CHECK_FALSE(succeeded(KeyPlan::parse(shortPlan.serialize())));
+    auto fence = examplePlan();
+    fence.lastFence = 11;
+    CHECK_FALSE(succeeded(KeyPlan::parse(fence.serialize())));
+    auto message = examplePlan().toWire();
+    message.mutable_ranges(0)->set_owner(9);
+    CHECK_FALSE(succeeded(KeyPlan::fromWire(message)));
+    CHECK_FALSE(succeeded(KeyPlan::parse("\xff\xff")));
+}
--- /dev/null
+++ b/libs/keyspace/tests/RebalancerTest.cpp
@@ -0,0 +1,157 @@
+#include "keyspace/Rebalancer.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoia;
+using namespace sequoia::keyspace;
+
+namespace {
+
+constexpr std::uint32_t serverCount = 8;
+constexpr double capacityOfServer = 20;
+
+fleet::ServerLife serverAt(std::uint32_t index)
+{
+    return { "s" + std::to_string(index), 1 };
+}
+
+Capacities equalCapacities()
+{
+    Capacities capacities;
+    for (std::uint32_t i = 0; i < serverCount; ++i)
+        capacities[serverAt(i)] = capacityOfServer;
+    return capacities;
+}
+
+KeyPlan equalPlan()
+{
+    KeyPlan plan;
+    plan.service = "s";
+    std::uint32_t width = fleet::keyCount / serverCount;
+    for (std::uint32_t i = 0; i < serverCount; ++i)
+        plan.ranges.push_back({ { static_cast<fleet::Key>(i * width), static_cast<fleet::Key>((i + 1) * width - 1) },
+            serverAt(i), i + 1, std::nullopt });
+    plan.lastFence = serverCount;
+    return plan;
+}
+
+//! Applies moves to the owners at once.
+void applyMoves(KeyPlan& plan, const std::vector<Move>& moves)
+{
+    for (const auto& move : moves) {
+        std::vector<PlannedRange> next;
+        for (const auto& range : plan.ranges) {
+            if (range.keys.last < move.keys.first || range.keys.first > move.keys.last) {
+                next.push_back(range);
+                continue;
+            }
+            auto part = range;
+            if (range.keys.first < move.keys.first) {
+                part.keys = { range.keys.first, static_cast<fleet::Key>(move.keys.first - 1) };
+                next.push_back(part);
+            }
+            part.keys = { std::max(range.keys.first, move.keys.first), std::min(range.keys.last, move.keys.last) };
+            part.owner = move.target;
+            next.push_back(part);
+            if (range.keys.last > move.keys.last) {
+                part = range;
+                part.keys.first = static_cast<fleet::Key>(move.keys.last + 1);
+                next.push_back(part);
+            }
+        }
+        plan.ranges = std::move(next);
+    }
+}
+
+double largestUtilization(const KeyPlan& plan, const KeyLoad& load)
+{
+    std::map<fleet::ServerLife, double> sums;
+    for (const auto& range : plan.ranges)
+        sums[range.owner] += load.of(range.keys);
+    double largest = 0;
+    for (const auto& [server, sum] : sums)
+        largest = std::max(largest, sum / capacityOfServer);
+    return largest;
+}
+
+//! Notes `perSecond` requests spread over the keys, for ten seconds.
+KeyLoad loadOn(fleet::KeyRange keys, int perSecond)
+{
+    KeyLoad load;
+    TimePoint now { std::chrono::seconds(100) };
+    load.advance(now);
+    for (int step = 0; step < 100; ++step) {
+        for (int i = 0; i < perSecond / 10; ++i)
+            load.note(static_cast<fleet::Key>(
+                keys.first + static_cast<std::uint32_t>(step * perSecond / 10 + i) * 40503U % keys.size()));
+        now += std::chrono::milliseconds(100);
+        load.advance(now);
+    }
+    return load;
+}
+
+}
+
+// Load pattern: busy keys close together, all on one server. Guards against moves that do not relieve it.
+TEST_CASE("busy keys that lie close together are spread over the servers")
+{
+    auto plan = equalPlan();
+    auto load = loadOn({ 100, 4000 }, 80);
+    CHECK(largestUtilization(plan, load) > 3);
+    for (int round = 0; round < 12; ++round)
+        applyMoves(plan, rebalance(plan, load, equalCapacities()));
+    CHECK(largestUtilization(plan, load) < 1);
+}
+
+// Load pattern: even load with the chance of arrivals. Guards against keys that move to and fro without need.
+TEST_CASE("an even load moves nothing")
+{
+    auto load = loadOn({ 0, 65535 }, 80);
+    CHECK(rebalance(equalPlan(), load, equalCapacities()).empty());
+}
+
+// Load pattern: one key gets much of the traffic. Guards against a hot key that travels from server to server, and
+// against other keys that suffer beside it.
+TEST_CASE("the other keys leave the server of a hot key, and the hot key stays")
+{
+    auto plan = equalPlan();
+    KeyLoad load;
+    TimePoint now { std::chrono::seconds(100) };
+    load.advance(now);
+    for (int step = 0; step < 100; ++step) {
+        for (int i = 0; i < 3; ++i)
+            load.note(5000);
+        for (std::uint32_t i = 0; i < 5; ++i)
+            load.note(static_cast<fleet::Key>((static_cast<std::uint32_t>(step) * 5 + i) * 131 % fleet::keyCount));
+        now += std::chrono::milliseconds(100);
+        load.advance(now);
+    }
+    auto owner = plan.ranges[plan.find(5000)].owner;
+    for (int round = 0; round < 20; ++round)
+        applyMoves(plan, rebalance(plan, load, equalCapacities()));
+    CHECK(plan.ranges[plan.find(5000)].owner == owner);
+    double beside = 0;
+    for (const auto& range : plan.ranges) {
+        if (range.owner == owner)
+            beside += load.of(range.keys);
+    }
+    CHECK(beside - load.of({ 5000, 5000 }) < 3);
+}
+
+// Guards against a first distribution in which a server gets nothing, and against keys that nobody gets.
+TEST_CASE("keys without an owner are dealt out in equal shares before there is traffic")
+{
+    KeyLoad load;
+    auto plan = KeyPlan::unowned("s");
+    auto moves = assignUnowned(plan, { true }, load, equalCapacities());
+    std::map<fleet::ServerLife, std::uint32_t> shares;
+    std::uint32_t covered = 0;
+    for (const auto& move : moves) {
+        shares[move.target] += move.keys.size();
+        covered += move.keys.size();
+    }
+    CHECK(covered == fleet::keyCount);
+    CHECK(shares.size() == serverCount);
+    for (const auto& [server, share] : shares)
+        CHECK(share < 2 * fleet::keyCount / serverCount);
+}
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -22,8 +22,7 @@
 {
     int one = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimitMillis,
-        sizeof unacknowledgedLimitMillis);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimitMillis, sizeof unacknowledgedLimitMillis);
 }
 
 void dropPrefix(std::string& buffer, std::size_t& start)
@@ -182,8 +181,8 @@
 void TcpStream::flush()
 {
     while (this->unsentBytes() > 0) {
-        ssize_t count = send(this->descriptor, this->output.data() + this->outputStart, this->unsentBytes(),
-            MSG_NOSIGNAL);
+        ssize_t count
+            = send(this->descriptor, this->output.data() + this->outputStart, this->unsentBytes(), MSG_NOSIGNAL);
         if (count < 0 && errno == EINTR)
             continue;
         if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
--- a/libs/net/src/UdpSocket.cpp
+++ b/libs/net/src/UdpSocket.cpp
@@ -55,8 +55,8 @@
     for (int i = 0; i < receiveBatch; ++i) {
         SocketAddress sender;
         socklen_t length = sizeof sender.value;
-        ssize_t count = recvfrom(this->descriptor, buffer.data(), buffer.size(), 0,
-            reinterpret_cast<sockaddr*>(&sender.value), &length);
+        ssize_t count = recvfrom(
+            this->descriptor, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&sender.value), &length);
         if (count < 0)
             return;
         this->received(std::string_view(buffer.data(), static_cast<std::size_t>(count)), sender);
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -60,8 +60,8 @@
     return task;
 }
 
-CoordinationTask::CoordinationTask(net::Reactor& owner, const settings::Settings& settings,
-    timeline::EventLog& log, const std::string& ownIncarnation, store::RowStore& rows, StoreContact contact)
+CoordinationTask::CoordinationTask(net::Reactor& owner, const settings::Settings& settings, timeline::EventLog& log,
+    const std::string& ownIncarnation, store::RowStore& rows, StoreContact contact)
     : reactor(owner)
     , events(log)
     , incarnation(ownIncarnation)
@@ -309,8 +309,8 @@
     this->events.record(
         timeline::Severity::Info, "coordinator", { { "term", std::to_string(term) }, { "change", "gained" } });
     this->heardTerm = std::max(this->heardTerm, term);
-    this->coordinator = std::make_unique<coordination::Coordinator>(
-        this->reactor.time(), term, this->scheduling, this->grantTerms);
+    this->coordinator
+        = std::make_unique<coordination::Coordinator>(this->reactor.time(), term, this->scheduling, this->grantTerms);
     this->coordinator->setConfiguration(this->configuration);
     this->coordinator->setServers(this->servers);
     this->loadPlans(term);
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -30,8 +30,8 @@
     : grace(context.settings.duration("edge", "grace"))
     , events(context.events)
     , reactor(g_main_context_default(), context.clock)
-    , store(this->reactor, context.settings.text("store", "address"),
-          context.settings.duration("store", "call_timeout"))
+    , store(
+          this->reactor, context.settings.text("store", "address"), context.settings.duration("store", "call_timeout"))
 {
 }
 
@@ -47,8 +47,8 @@
     this->coordination = std::move(valueOf(coordinationTask));
     this->edge = std::make_unique<edge::EdgeServer>(
         this->reactor, this->events, platform_adapter::headerNames(), this->coordination->placer());
-    this->configuration = std::make_unique<ConfigurationWatcher>(this->reactor, this->store, this->events,
-        [this](const std::shared_ptr<const fleet::Configuration>& current) {
+    this->configuration = std::make_unique<ConfigurationWatcher>(
+        this->reactor, this->store, this->events, [this](const std::shared_ptr<const fleet::Configuration>& current) {
             this->edge->setConfiguration(current);
             this->coordination->setConfiguration(current);
         });
--- a/programs/node/src/ReadyEndpoint.cpp
+++ b/programs/node/src/ReadyEndpoint.cpp
@@ -31,8 +31,9 @@
                 return;
             auto page = this->owner.handler(this->parser->head().target);
             this->stream.write("HTTP/1.1 " + std::to_string(page.status) + " "
-                + std::string(http::reasonOf(page.status)) + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "
-                + std::to_string(page.body.size()) + "\r\n\r\n" + page.body);
+                + std::string(http::reasonOf(page.status))
+                + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: " + std::to_string(page.body.size())
+                + "\r\n\r\n" + page.body);
             this->parser = std::make_unique<http::MessageParser>(http::MessageType::Request, headerLimit);
         }
     }
--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -18,8 +18,7 @@
 
 }
 
-ServerWatcher::ServerWatcher(
-    net::Reactor& owner, store::RowStore& rows, timeline::EventLog& log, Changed callback)
+ServerWatcher::ServerWatcher(net::Reactor& owner, store::RowStore& rows, timeline::EventLog& log, Changed callback)
     : reactor(owner)
     , store(rows)
     , events(log)
