--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -242,6 +242,12 @@
     this->close();
 }
 
+void CallerConnection::resumeRequest()
+{
+    if (!this->closing && !this->requestComplete)
+        this->stream.setReading(true);
+}
+
 void CallerConnection::finishExchange()
 {
     this->answerComplete = true;
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -27,6 +27,7 @@
     void sendOwn(unsigned status, Duration retryAfter, const std::string& reason) override;
     void breakOff() override;
     std::size_t unsentBytes() const override { return this->stream.unsentBytes(); }
+    void resumeRequest() override;
 
     void parseInput();
     void startExchange();
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -216,7 +216,14 @@
     this->bodyFinished = false;
     ++this->context.counters.attempts;
     this->connection->start(this->requestHead(target.server), this->head.method == "HEAD", responseBuffer, *this);
+    this->onDrained();
+}
+
+void Exchange::onDrained()
+{
     this->pumpBody();
+    if (!this->wantsPause())
+        this->sink.resumeRequest();
 }
 
 std::string Exchange::requestHead(const std::string& serverId) const
--- a/libs/edge/src/Exchange.h
+++ b/libs/edge/src/Exchange.h
@@ -17,6 +17,8 @@
     //! Breaks off a response that has begun.
     virtual void breakOff() = 0;
     virtual std::size_t unsentBytes() const = 0;
+    //! More of the request's body may be read.
+    virtual void resumeRequest() = 0;
 };
 
 //! One request of a caller, from its head to its answer.
@@ -49,7 +51,7 @@
     bool acceptsResponse(const http::Head& head) override;
     void onResponse(const http::Head& head, std::string_view bytes, bool complete) override;
     void onFailure(client::ExchangeFailure failure, const std::string& reason) override;
-    void onDrained() override { this->pumpBody(); }
+    void onDrained() override;
 
     bool checkHead();
     bool chooseTarget();
--- a/libs/httpio/tests/FaultTest.cpp
+++ b/libs/httpio/tests/FaultTest.cpp
@@ -5,6 +5,7 @@
 using namespace sequoia;
 using namespace sequoia::httpio;
 using namespace sequoia::httpio::test;
+using namespace sequoia::test;
 
 namespace {
 
--- a/libs/httpio/tests/GatewayFixture.h
+++ b/libs/httpio/tests/GatewayFixture.h
@@ -8,6 +8,8 @@
 
 namespace sequoia::httpio::test {
 
+using namespace sequoia::test;
+
 //! A gateway on a task of its own, with one backend server that owns every key of the service "booking".
 class GatewayFixture final : public GatewayObserver {
 public:
--- a/libs/httpio/tests/PassThroughTest.cpp
+++ b/libs/httpio/tests/PassThroughTest.cpp
@@ -5,6 +5,7 @@
 using namespace sequoia;
 using namespace sequoia::httpio;
 using namespace sequoia::httpio::test;
+using namespace sequoia::test;
 
 // Guards against headers or bytes that change on their way, and hop-by-hop headers that leak.
 TEST_CASE("a request and its response pass through unchanged")
--- a/libs/httpio/tests/Connection.h
+++ b/tests/support/Connection.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <utility>
 
-namespace sequoia::httpio::test {
+namespace sequoia::test {
 
 //! A TCP connection for tests that writes and reads raw bytes and blocks. Every wait ends after a guard time with an
 //! exception, so that a fault shows as a failure and not as a hanging program.
--- a/libs/httpio/tests/FakeServer.cpp
+++ b/tests/support/FakeServer.cpp
@@ -6,7 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace sequoia::httpio::test {
+namespace sequoia::test {
 
 namespace {
 
--- a/libs/httpio/tests/FakeServer.h
+++ b/tests/support/FakeServer.h
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-namespace sequoia::httpio::test {
+namespace sequoia::test {
 
 //! A backend server that follows a script: the n-th connection runs the n-th step, each in a thread of its own.
 //! Connections beyond the script are closed at once.
