--- a/libs/balance/include/balance/Job.h
+++ b/libs/balance/include/balance/Job.h
@@ -21,6 +21,10 @@
     auto operator<=>(const JobId&) const = default;
 };
 
+struct JobIdHash {
+    std::size_t operator()(JobId id) const { return id.host * 0x9E3779B97F4A7C15U ^ id.number; }
+};
+
 //! One request that needs a backend server. A request that is sent again is a new job.
 struct Job {
     JobId id;
--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace sequoia::balance {
@@ -56,7 +57,7 @@
     //! Where a job was placed; null when it is not placed.
     const std::string* placementOf(JobId job) const;
     unsigned inFlight(const std::string& server) const;
-    std::size_t waitingJobs() const;
+    std::size_t waitingJobs() const { return this->waiting.size(); }
     //! Usual time of a job of the service, as measured.
     Duration normalTime(const std::string& service) const;
     const std::map<std::string, ServerLoad>& servers() const { return this->loads; }
@@ -77,10 +78,10 @@
     void dispatchQueue(Pool& pool, const std::string& queue, TimePoint now, std::vector<Decision>& decisions);
     void dispatch(Pool& pool, TimePoint now, std::vector<Decision>& decisions);
     std::optional<std::string> chooseServer(const Pool& pool, const Job& job, TimePoint now) const;
-    double capacity(const Pool& pool, const std::string& queue, TimePoint now) const;
+    double capacity(Pool& pool, const std::string& queue, TimePoint now) const;
     std::optional<Refused> admissionRefusal(Pool& pool, const Job& job, TimePoint now);
     std::optional<Refused> waitRefusal(
-        const Pool& pool, const std::string& queue, const Job& job, std::size_t ahead, TimePoint now) const;
+        Pool& pool, const std::string& queue, const Job& job, std::size_t ahead, TimePoint now) const;
     void place(Pool& pool, const Job& job, const std::string& server, TimePoint now, std::vector<Decision>& decisions);
 
     SchedulerTerms terms;
@@ -88,7 +89,8 @@
     Quarantine quarantine;
     std::map<std::string, std::unique_ptr<Pool>, std::less<>> pools;
     std::map<std::string, ServerLoad> loads;
-    std::map<JobId, Placement> placements;
+    std::unordered_map<JobId, Placement, JobIdHash> placements;
+    std::unordered_map<JobId, std::string, JobIdHash> waiting; //!< service by job
     TimePoint lastSweep {};
     double slotShare = 1;
 };
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -48,6 +48,9 @@
     TimePoint coldUntil {};
     TimePoint suspendedUntil {};
     TimePoint lastSample {};
+    //! Last result of slowness(), which is asked for every server at each placement.
+    mutable TimePoint slownessTime {};
+    mutable double slownessValue = 1;
 };
 
 }
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -18,7 +18,7 @@
 // Servers whose expected time is this many times the usual one get only jobs that they finish in time.
 constexpr double slowCost = 3;
 // Part of the usual time without which a job is not worth starting.
-constexpr double leastWorkLeft = 0.6;
+constexpr double leastWorkLeft = 1.0;
 // Retry-After lies between these; callers wait at most a third of the time that they have left.
 constexpr Duration shortestRetryAfter = std::chrono::milliseconds(100);
 constexpr double callerPatience = 1.0 / 3;
@@ -47,6 +47,10 @@
     //! By owner for keyed services; jobs whose key is moving and jobs of unkeyed services have no owner.
     std::map<std::string, Queue> queues;
     std::uint64_t ownerVersion = 0;
+    std::vector<ServerLoad*> members;
+    //! Jobs that all servers finish per usual time; kept for a moment, since every arrival asks.
+    double slotsPerTime = 0;
+    TimePoint slotsTime {};
     double normalMicros = static_cast<double>(assumedTime.count());
     RepeatBudget budget;
 
@@ -71,8 +75,13 @@
 Scheduler::Pool& Scheduler::poolOf(const std::string& service)
 {
     auto& pool = this->pools[service];
-    if (!pool)
+    if (!pool) {
         pool = std::make_unique<Pool>(service, this->terms);
+        for (auto& [id, load] : this->loads) {
+            if (load.entry().service == service)
+                pool->members.push_back(&load);
+        }
+    }
     return *pool;
 }
 
@@ -87,6 +96,14 @@
             this->quarantine.crashed(id, now);
         found->second.update(entry, now);
     }
+    for (auto& [service, pool] : this->pools) {
+        pool->members.clear();
+        pool->slotsTime = {};
+        for (auto& [id, load] : this->loads) {
+            if (load.entry().service == service)
+                pool->members.push_back(&load);
+        }
+    }
 }
 
 void Scheduler::setOthersInFlight(const std::map<std::string, unsigned>& counts)
@@ -134,9 +151,8 @@
             return Refused { job.id, RefusalReason::NoOwner, longestRetryAfter };
         return std::nullopt;
     }
-    bool any = std::any_of(this->loads.begin(), this->loads.end(), [&](const auto& entry) {
-        return entry.second.entry().service == job.service && entry.second.entry().state == fleet::ServerState::Ready;
-    });
+    bool any = std::any_of(pool.members.begin(), pool.members.end(),
+        [](const ServerLoad* load) { return load->entry().state == fleet::ServerState::Ready; });
     if (!any)
         return Refused { job.id, RefusalReason::NoServer, longestRetryAfter };
     return std::nullopt;
@@ -156,6 +172,7 @@
     auto& queue = pool.queues[name];
     auto rank = Pool::rankOf(job);
     auto position = queue.emplace(rank, job).first;
+    this->waiting[job.id] = job.service;
     this->dispatchQueue(pool, name, now, decisions);
     // The job is still waiting: refuses it at once when it cannot make its deadline.
     position = queue.find(rank);
@@ -163,6 +180,7 @@
         auto ahead = static_cast<std::size_t>(std::distance(queue.begin(), position));
         if (auto refusal = this->waitRefusal(pool, name, job, ahead, now)) {
             queue.erase(position);
+            this->waiting.erase(job.id);
             decisions.emplace_back(*refusal);
         }
     }
@@ -171,12 +189,14 @@
 
 void Scheduler::withdraw(JobId job)
 {
-    for (auto& [service, pool] : this->pools) {
-        for (auto& [name, queue] : pool->queues) {
-            if (std::erase_if(queue, [&](const auto& entry) { return entry.first.id == job; }) > 0)
-                return;
-        }
+    auto found = this->waiting.find(job);
+    if (found == this->waiting.end())
+        return;
+    for (auto& [name, queue] : this->poolOf(found->second).queues) {
+        if (std::erase_if(queue, [&](const auto& entry) { return entry.first.id == job; }) > 0)
+            break;
     }
+    this->waiting.erase(found);
 }
 
 std::vector<Decision> Scheduler::ended(JobId job, JobResult result, Duration elapsed, TimePoint now)
@@ -200,7 +220,9 @@
         this->quarantine.lost(placement.fingerprint, placement.server, now);
     if (result == JobResult::ConnectFailed)
         this->quarantine.crashed(placement.server, now);
-    this->dispatch(pool, now, decisions);
+    this->requeueMoved(pool);
+    // Only this server has room that it had not before.
+    this->dispatchQueue(pool, pool.keyed ? placement.server : anyServer, now, decisions);
     return decisions;
 }
 
@@ -224,9 +246,11 @@
                     continue;
                 }
                 decisions.emplace_back(*refusal);
+                this->waiting.erase(entry->first.id);
                 entry = queue.erase(entry);
             }
         }
+        std::erase_if(pool->queues, [](const auto& entry) { return entry.second.empty(); });
     }
     for (auto entry = this->placements.begin(); entry != this->placements.end();) {
         auto next = std::next(entry);
@@ -247,6 +271,7 @@
         for (auto& [name, queue] : pool->queues)
             std::erase_if(queue, [&](const auto& entry) { return entry.first.id.host == host; });
     }
+    std::erase_if(this->waiting, [&](const auto& entry) { return entry.first.host == host; });
     for (auto entry = this->placements.begin(); entry != this->placements.end();) {
         auto next = std::next(entry);
         if (entry->first.host == host) {
@@ -268,7 +293,10 @@
 
 void Scheduler::dispatchQueue(Pool& pool, const std::string& name, TimePoint now, std::vector<Decision>& decisions)
 {
-    auto& queue = pool.queues[name];
+    auto found = pool.queues.find(name);
+    if (found == pool.queues.end() || found->second.empty())
+        return;
+    auto& queue = found->second;
     // Jobs that still make their target go first; late ones get what is left.
     for (bool onTime : { true, false }) {
         for (auto entry = queue.begin(); entry != queue.end();) {
@@ -293,6 +321,7 @@
                 continue;
             }
             this->place(pool, job, *server, now, decisions);
+            this->waiting.erase(job.id);
             entry = queue.erase(entry);
         }
     }
@@ -300,12 +329,14 @@
 
 std::optional<std::string> Scheduler::chooseServer(const Pool& pool, const Job& job, TimePoint now) const
 {
-    const std::string* best = nullptr;
+    const ServerLoad* best = nullptr;
     double bestCost = 0;
     double normal = pool.normalMicros;
-    for (const auto& [id, load] : this->loads) {
-        if (load.entry().service != pool.service || !load.hasRoom(extraOfUnkeyed, this->slotShare, now))
+    for (const auto* member : pool.members) {
+        const auto& load = *member;
+        if (!load.hasRoom(extraOfUnkeyed, this->slotShare, now))
             continue;
+        const auto& id = load.entry().life.id;
         if (std::find(job.tried.begin(), job.tried.end(), id) != job.tried.end())
             continue;
         double busy = static_cast<double>(load.inFlight()) / load.entry().slots;
@@ -316,31 +347,42 @@
         if (cost > slowCost && now + Duration(static_cast<std::int64_t>(finish)) > job.target)
             continue;
         if (!best || cost < bestCost) {
-            best = &id;
+            best = member;
             bestCost = cost;
         }
     }
-    return best ? std::optional(*best) : std::nullopt;
+    return best ? std::optional(best->entry().life.id) : std::nullopt;
 }
 
-double Scheduler::capacity(const Pool& pool, const std::string& name, TimePoint now) const
+double Scheduler::capacity(Pool& pool, const std::string& name, TimePoint now) const
 {
-    double slotsPerTime = 0;
-    for (const auto& [id, load] : this->loads) {
-        if (load.entry().service != pool.service || !load.isUsable(now))
-            continue;
-        if (pool.keyed && id != name)
-            continue;
-        slotsPerTime += load.entry().slots / load.slowness(pool.normal(), now);
+    auto capacityOf = [&](const ServerLoad& load) {
+        return load.isUsable(now) ? load.entry().slots / load.slowness(pool.normal(), now) : 0;
+    };
+    if (pool.keyed) {
+        auto load = this->loads.find(name);
+        return load == this->loads.end() ? 0 : capacityOf(load->second);
     }
-    return slotsPerTime;
+    if (now - pool.slotsTime < sweepInterval)
+        return pool.slotsPerTime;
+    pool.slotsTime = now;
+    pool.slotsPerTime = 0;
+    for (const auto* load : pool.members)
+        pool.slotsPerTime += capacityOf(*load);
+    return pool.slotsPerTime;
 }
 
 std::optional<Refused> Scheduler::waitRefusal(
-    const Pool& pool, const std::string& name, const Job& job, std::size_t ahead, TimePoint now) const
+    Pool& pool, const std::string& name, const Job& job, std::size_t ahead, TimePoint now) const
 {
     double normal = pool.normalMicros;
     double slots = this->capacity(pool, name, now);
+    double work = normal;
+    if (pool.keyed && !name.empty()) {
+        auto load = this->loads.find(name);
+        if (load != this->loads.end())
+            work *= load->second.slowness(pool.normal(), now);
+    }
     double wait = 0;
     if (pool.keyed && name.empty())
         wait = 0; // the key is moving; how long is not known
@@ -348,7 +390,7 @@
         wait = normal;
     else
         wait = normal * static_cast<double>(ahead + 1) / slots;
-    auto finish = now + Duration(static_cast<std::int64_t>(wait + normal * leastWorkLeft));
+    auto finish = now + Duration(static_cast<std::int64_t>(wait + work * leastWorkLeft));
     if (finish <= job.deadline)
         return std::nullopt;
     double patience = static_cast<double>(std::max(Duration::zero(), job.deadline - now).count()) * callerPatience;
@@ -367,13 +409,7 @@
 
 bool Scheduler::isWaiting(JobId job) const
 {
-    for (const auto& [service, pool] : this->pools) {
-        for (const auto& [name, queue] : pool->queues) {
-            if (std::any_of(queue.begin(), queue.end(), [&](const auto& entry) { return entry.first.id == job; }))
-                return true;
-        }
-    }
-    return false;
+    return this->waiting.contains(job);
 }
 
 const std::string* Scheduler::placementOf(JobId job) const
@@ -388,16 +424,6 @@
     return found == this->loads.end() ? 0 : found->second.inFlight();
 }
 
-std::size_t Scheduler::waitingJobs() const
-{
-    std::size_t count = 0;
-    for (const auto& [service, pool] : this->pools) {
-        for (const auto& [name, queue] : pool->queues)
-            count += queue.size();
-    }
-    return count;
-}
-
 Duration Scheduler::normalTime(const std::string& service) const
 {
     auto found = this->pools.find(service);
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -23,6 +23,7 @@
 // Losses in a row that suspend a server; a single one may concern the request only.
 constexpr unsigned lossesToSuspend = 2;
 constexpr double largestRelativeTime = 20;
+constexpr Duration slownessValidity = std::chrono::milliseconds(20);
 // Without new answers a server is taken for normal again with this time constant, so that it is tried anew.
 constexpr double forgetMicros = 3e6;
 
@@ -109,6 +110,8 @@
 
 double ServerLoad::slowness(Duration normalTime, TimePoint now) const
 {
+    if (now - this->slownessTime < slownessValidity)
+        return this->slownessValue;
     double learned = 1 + (this->relativeTime - 1) * this->memory(now);
     double expected = learned * (now < this->coldUntil ? coldFactor : 1);
     for (const auto& [job, start] : this->jobs) {
@@ -117,7 +120,9 @@
         if (age > overdueFactor * expected)
             expected = std::max(expected, age / overdueFactor);
     }
-    return std::clamp(expected, 0.05, largestRelativeTime);
+    this->slownessTime = now;
+    this->slownessValue = std::clamp(expected, 0.05, largestRelativeTime);
+    return this->slownessValue;
 }
 
 double ServerLoad::failureShare(TimePoint now) const
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/Scheduler.h"
+#include "coordination/DirectoryLog.h"
 #include "core/Random.h"
 #include "fleet/Configuration.h"
 #include "keyspace/GrantKeeper.h"
@@ -33,10 +34,13 @@
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
     void setServers(const fleet::ServerMap& servers);
 
-    //! Messages of a host, and the answers to it and to others.
-    std::vector<Outgoing> receive(const wire::Datagram& datagram, const std::string& address);
-    std::vector<Outgoing> tick();
-    std::vector<Outgoing> beacons(bool resigned);
+    //! Takes the messages of a host.
+    void receive(const wire::Datagram& datagram, const std::string& address);
+    void tick();
+    //! Answers since the last call, one datagram for each host.
+    std::vector<Outgoing> takeAnswers();
+    //! `storeContactAge` is in milliseconds.
+    std::vector<Outgoing> beacons(bool resigned, std::int64_t storeContactAge);
 
     //! Plans to be written, orders to be sent and events to be logged since the last call.
     std::vector<keyspace::KeyPlan> takeWrites();
@@ -59,6 +63,8 @@
         TimePoint lastReport {};
         std::map<std::string, unsigned> ownPlacements; //!< in flight without this coordinator's knowledge
         std::map<std::string, std::uint64_t> planSequences;
+        std::uint64_t directoryVersion = 0; //!< of this coordinator's list; 0 when the host has none
+        TimePoint directorySent {};
     };
     struct KeyedService {
         std::unique_ptr<keyspace::GrantKeeper> keeper;
@@ -75,7 +81,7 @@
     void answerPlaced(const std::string& address, std::uint64_t job, const std::string& server);
     void collect(const std::vector<balance::Decision>& decisions);
     wire::Datagram& answerTo(const std::string& address);
-    std::vector<Outgoing> takeAnswers();
+    void fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists);
     void updateCapacities();
     void tickKeepers();
     void dropSilentHosts();
@@ -88,6 +94,7 @@
     std::map<std::string, keyspace::KeyPlan> storedPlans;
     std::shared_ptr<const fleet::Configuration> configuration;
     fleet::ServerMap servers;
+    DirectoryLog directory;
     std::map<std::string, KeyedService, std::less<>> keyed;
     std::map<std::string, Host> hosts; //!< by incarnation
     std::map<std::uint64_t, std::string> addressOfHost;
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -53,7 +53,9 @@
         edge::PlacementObserver* observer = nullptr;
         bool remote = false;
         bool acknowledged = false;
+        TimePoint firstSent {};
         TimePoint lastSent {};
+        unsigned resends = 0;
     };
 
     void sendSubmit(Pending& entry);
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -12,6 +12,9 @@
 constexpr Duration hostSilence = std::chrono::milliseconds(1500);
 // Load of keys is brought up to date at this interval.
 constexpr Duration loadInterval = std::chrono::milliseconds(250);
+// Longer than a report takes; the whole list has some 80 bytes per server, so that few hosts get it at once.
+constexpr Duration directoryResend = std::chrono::milliseconds(350);
+constexpr unsigned wholeListsAtOnce = 8;
 // A host that reached the store within this time reaches it.
 constexpr std::int64_t reachesStoreMillis = 1000;
 
@@ -43,6 +46,7 @@
 void Coordinator::setServers(const fleet::ServerMap& listed)
 {
     this->servers = listed;
+    this->directory.update(listed);
     this->scheduler.setServers(listed, this->clock.now());
     for (auto& [service, entry] : this->keyed) {
         fleet::ServerMap own;
@@ -96,10 +100,10 @@
     return result;
 }
 
-std::vector<Outgoing> Coordinator::receive(const wire::Datagram& datagram, const std::string& address)
+void Coordinator::receive(const wire::Datagram& datagram, const std::string& address)
 {
     if (!this->started)
-        return {};
+        return;
     auto now = this->clock.now();
     auto& host = this->hostOf(datagram.sender(), address);
     if (datagram.has_report())
@@ -114,7 +118,6 @@
     }
     for (const auto& message : datagram.submits())
         this->submit(host, message);
-    return this->takeAnswers();
 }
 
 void Coordinator::submit(Host& host, const wire::Submit& message)
@@ -178,6 +181,7 @@
     host.planSequences.clear();
     for (int i = 0; i < report.plan_services_size() && i < report.plan_sequences_size(); ++i)
         host.planSequences[report.plan_services(i)] = report.plan_sequences(i);
+    host.directoryVersion = report.directory_term() == this->currentTerm ? report.directory_version() : 0;
     if (report.store_contact_age_ms() < reachesStoreMillis)
         this->peerReachesStore = true;
     std::map<std::string, unsigned> others;
@@ -193,14 +197,13 @@
     return std::exchange(this->peerReachesStore, false);
 }
 
-std::vector<Outgoing> Coordinator::tick()
+void Coordinator::tick()
 {
     if (!this->started)
-        return {};
+        return;
     this->dropSilentHosts();
     this->tickKeepers();
     this->collect(this->scheduler.tick(this->clock.now()));
-    return this->takeAnswers();
 }
 
 void Coordinator::dropSilentHosts()
@@ -264,12 +267,16 @@
     }
 }
 
-std::vector<Outgoing> Coordinator::beacons(bool resigned)
+std::vector<Outgoing> Coordinator::beacons(bool resigned, std::int64_t storeContactAge)
 {
     std::vector<Outgoing> result;
+    unsigned wholeLists = 0;
     for (auto& [incarnation, host] : this->hosts) {
         Outgoing outgoing { host.address, {} };
         auto* beacon = outgoing.datagram.mutable_beacon();
+        beacon->set_store_contact_age_ms(storeContactAge);
+        this->fillDirectory(host, *beacon, wholeLists);
+        beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
         beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
         beacon->set_resigned(resigned);
         for (const auto& [service, entry] : this->keyed) {
@@ -282,6 +289,21 @@
     return result;
 }
 
+void Coordinator::fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists)
+{
+    auto now = this->clock.now();
+    beacon.set_directory_version(this->directory.version());
+    if (host.directoryVersion == this->directory.version())
+        return;
+    // What was sent is repeated only when the host has had time to report it.
+    if (now - host.directorySent < directoryResend)
+        return;
+    if (host.directoryVersion == 0 && ++wholeLists > wholeListsAtOnce)
+        return;
+    host.directorySent = now;
+    *beacon.mutable_directory() = this->directory.changesSince(host.directoryVersion);
+}
+
 std::vector<keyspace::KeyPlan> Coordinator::takeWrites()
 {
     return std::exchange(this->writes, {});
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -12,6 +12,8 @@
 constexpr Duration silenceLimit = std::chrono::milliseconds(500);
 // A submission without an answer is sent again after this; longer than a round trip between data centres.
 constexpr Duration resendInterval = std::chrono::milliseconds(40);
+// A coordinator that does not answer within this time has more work than it can do; the host places the job itself.
+constexpr Duration answerLimit = std::chrono::milliseconds(250);
 // Ends are repeated in datagrams for this time, at most this many.
 constexpr Duration repeatEndsFor = std::chrono::milliseconds(120);
 constexpr std::size_t repeatedEnds = 12;
@@ -43,6 +45,7 @@
         return;
     }
     entry.remote = true;
+    entry.firstSent = this->clock.now();
     this->sendSubmit(entry);
 }
 
@@ -196,9 +199,21 @@
     if (this->remote && now - this->lastHeard > silenceLimit)
         this->coordinatorLost();
     this->apply(this->scheduler.tick(now));
+    std::vector<std::uint64_t> unanswered;
     for (auto& [number, entry] : this->pending) {
-        if (entry.remote && !entry.acknowledged && now - entry.lastSent >= resendInterval)
+        if (!entry.remote || entry.acknowledged)
+            continue;
+        if (now - entry.firstSent >= answerLimit)
+            unanswered.push_back(number);
+        else if (now - entry.lastSent >= resendInterval * (1U << entry.resends)) {
+            ++entry.resends;
             this->sendSubmit(entry);
+        }
+    }
+    for (auto number : unanswered) {
+        this->outgoing.add_withdrawals()->set_job(number);
+        this->hasOutgoing = true;
+        this->submitLocally(number);
     }
 }
 
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -56,6 +56,9 @@
     //! Closes connections without a request; returns how many connections are left.
     std::size_t closeIdleConnections();
 
+    //! Refuses the requests that no backend server has yet.
+    void refuseWaiting();
+
     const Counters& counters() const { return this->totals; }
     std::uint64_t openedBackendConnections() const { return this->backends.openedConnections(); }
     std::size_t connectionCount() const { return this->connections.size(); }
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -17,6 +17,11 @@
 
     bool isIdle() const { return !this->exchange && this->stream.input().empty() && !this->headBegun; }
     void closeGracefully();
+    void refuseUnlessPlaced()
+    {
+        if (this->exchange)
+            this->exchange->refuseUnlessPlaced();
+    }
 
 private:
     void onInput() override;
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -71,6 +71,15 @@
     this->context.stopping = true;
 }
 
+void EdgeServer::refuseWaiting()
+{
+    for (auto entry = this->connections.begin(); entry != this->connections.end();) {
+        auto next = std::next(entry);
+        entry->first->refuseUnlessPlaced();
+        entry = next;
+    }
+}
+
 std::size_t EdgeServer::closeIdleConnections()
 {
     for (auto entry = this->connections.begin(); entry != this->connections.end();) {
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -419,6 +419,16 @@
     this->answerOwn(this->mayHaveRun ? 504 : 503, {}, "no backend server within the time limit");
 }
 
+void Exchange::refuseUnlessPlaced()
+{
+    if (this->finished || this->placed)
+        return;
+    if (this->job != 0)
+        this->context.placer.withdraw(this->job);
+    this->job = 0;
+    this->answerOwn(this->mayHaveRun ? 502 : 503, std::chrono::milliseconds(50), "this host stops");
+}
+
 void Exchange::sinkDrained()
 {
     if (this->connection && this->passing)
--- a/libs/edge/src/Exchange.h
+++ b/libs/edge/src/Exchange.h
@@ -37,6 +37,8 @@
     void sinkDrained();
     //! The caller has left: stops all work.
     void abandon();
+    //! This host ends soon: refuses the request unless a backend server has it.
+    void refuseUnlessPlaced();
     bool isFinished() const { return this->finished; }
 
 private:
--- a/libs/fleet/include/fleet/ServerDirectory.h
+++ b/libs/fleet/include/fleet/ServerDirectory.h
@@ -16,6 +16,10 @@
 
     //! Takes a complete list; whether anything changed.
     bool update(const std::vector<ServerEntry>& listed, TimePoint now);
+    //! Takes the list that another host read just now; whether anything changed.
+    bool adopt(const ServerMap& listed, TimePoint now);
+    //! The list is still as it was.
+    void confirm(TimePoint now) { this->lastUpdate = now; }
     const ServerMap& servers() const { return this->current; }
 
 private:
--- a/libs/fleet/src/ServerDirectory.cpp
+++ b/libs/fleet/src/ServerDirectory.cpp
@@ -24,4 +24,13 @@
     return true;
 }
 
+bool ServerDirectory::adopt(const ServerMap& listed, TimePoint now)
+{
+    this->lastUpdate = now;
+    if (listed == this->current)
+        return false;
+    this->current = listed;
+    return true;
+}
+
 }
--- a/libs/keyspace/include/keyspace/GrantKeeper.h
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -103,6 +103,8 @@
         Stage stage = Stage::Granting;
         TimePoint heldUntil {}; //!< the owner may hold the keys until then, by any order
         TimePoint successorHeldUntil {};
+        //! A server that is neither owner nor successor any more may hold the keys until then.
+        TimePoint blockedUntil {};
         TimePoint heldBeforeOrder {}; //!< end of the hold if the outstanding order does not arrive
         TimePoint confirmedUntil {}; //!< the owner holds the keys at least until then
         TimePoint nextOrder {};
@@ -143,6 +145,8 @@
     Capacities capacities;
     std::optional<std::uint64_t> writing; //!< sequence of the write that is not confirmed
     bool adopted = false;
+    //! Orders of an earlier coordinator have arrived by then.
+    TimePoint settledAt {};
     bool changed = false; //!< the plan differs from what was written last
     bool superseded = false;
     OrderId lastOrder = 0;
--- a/libs/keyspace/include/keyspace/KeyLoad.h
+++ b/libs/keyspace/include/keyspace/KeyLoad.h
@@ -16,6 +16,8 @@
     //! Brings the averages up to date; called a few times a second.
     void advance(TimePoint now);
 
+    //! Time that the averages cover, in seconds.
+    double coveredSeconds() const;
     //! Requests per second of keys below `key`; a range's load is a difference of two.
     double below(std::uint32_t key) const { return this->sums[key]; }
     double of(fleet::KeyRange keys) const { return this->sums[std::uint32_t(keys.last) + 1] - this->sums[keys.first]; }
@@ -24,6 +26,7 @@
     std::vector<float> rates;
     std::vector<std::uint16_t> counts;
     std::vector<double> sums;
+    double covered = 0; //!< part of the averaging time with measurements
     TimePoint lastAdvance {};
 };
 
--- a/libs/keyspace/include/keyspace/KeyPlan.h
+++ b/libs/keyspace/include/keyspace/KeyPlan.h
@@ -27,6 +27,8 @@
     fleet::Fence fence = 0;
     //! Set while the keys move; both servers may hold them then.
     std::optional<Successor> successor;
+    //! A server that is neither owner nor successor any more may hold the keys for one holding time more.
+    bool blocked = false;
 
     bool operator==(const PlannedRange&) const = default;
 };
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Moves for balance are decided at this interval, so that the load after a move is measured before the next.
-constexpr Duration rebalanceInterval = std::chrono::milliseconds(500);
+constexpr Duration rebalanceInterval = std::chrono::milliseconds(300);
 // Keys rest this long after a move.
 constexpr Duration restAfterMove = std::chrono::seconds(2);
 // Unanswered renewals in a row after which no more are sent, so that the hold of a lost server runs out.
@@ -25,11 +25,16 @@
     , terms(grantTerms)
 {
     this->current.term = term;
+    this->settledAt = now + grantTerms.deliverySlack;
     RangeState state;
     // An earlier coordinator may have sent its last grant just now.
     state.heldUntil = this->holdEnd(now);
     state.successorHeldUntil = state.heldUntil;
     this->states.assign(this->current.ranges.size(), state);
+    for (std::size_t i = 0; i < this->states.size(); ++i) {
+        if (this->current.ranges[i].blocked)
+            this->states[i].blockedUntil = state.heldUntil;
+    }
 }
 
 void GrantKeeper::setServers(const fleet::ServerMap& listed)
@@ -202,7 +207,12 @@
             range.owner = range.successor->server;
             range.fence = range.successor->fence;
             state.heldUntil = std::max(state.successorHeldUntil, state.heldUntil);
+        } else if (range.successor && range.successor->server != move.target) {
+            // An earlier coordinator may have granted the keys to this successor.
+            state.blockedUntil = std::max(state.blockedUntil, state.successorHeldUntil);
+            range.blocked = range.blocked || state.successorHeldUntil != TimePoint();
         }
+        state.successorHeldUntil = {};
         range.successor = Successor { move.target, ++this->current.lastFence };
         state.stage = Stage::Announced;
         state.unanswered = 0;
@@ -284,7 +294,7 @@
             state.nextOrder = now;
             state.handover.clear();
             this->sendGrant(index, now, outputs);
-        } else if (state.outstanding == 0 && now >= state.nextOrder)
+        } else if (state.outstanding == 0 && now >= state.nextOrder && now >= this->settledAt)
             this->sendRelease(index, now, outputs);
         break;
     case Stage::Granting:
@@ -315,7 +325,8 @@
 {
     auto& range = this->current.ranges[index];
     auto& state = this->states[index];
-    auto order = this->makeOrder(index, OrderType::Release, range.owner, range.fence);
+    // Under the successor's fence, so that the owner refuses grants that were sent before.
+    auto order = this->makeOrder(index, OrderType::Release, range.owner, range.successor->fence);
     this->setOutstanding(state, order, now);
     state.nextOrder = now + this->terms.orderRetry;
     outputs.orders.push_back(std::move(order));
@@ -325,7 +336,7 @@
 {
     auto& range = this->current.ranges[index];
     auto& state = this->states[index];
-    if (!range.successor || !this->isReady(range.successor->server))
+    if (!range.successor || !this->isReady(range.successor->server) || now < state.blockedUntil)
         return;
     auto order = this->makeOrder(index, OrderType::Grant, range.successor->server, range.successor->fence);
     order.handover = state.handover;
@@ -416,6 +427,7 @@
         range.owner = range.successor->server;
         range.fence = range.successor->fence;
         range.successor.reset();
+        range.blocked = false;
         state.stage = Stage::Steady;
         state.heldUntil = state.successorHeldUntil;
         state.handover.clear();
@@ -435,7 +447,7 @@
     const auto& state = this->states[index];
     if (!range.successor && !range.owner.id.empty() && now < state.confirmedUntil && this->isReady(range.owner))
         return { balance::Ownership::Owned, range.owner.id };
-    bool waitsForHold = state.stage == Stage::Releasing && state.unanswered > 0;
+    bool waitsForHold = (state.stage == Stage::Releasing && state.unanswered > 0) || now < state.blockedUntil;
     bool lost = state.stage == Stage::Steady && state.unanswered >= unansweredToStop;
     if (waitsForHold || lost || (range.owner.id.empty() && !range.successor))
         return { balance::Ownership::Nobody, {} };
--- a/libs/keyspace/src/KeyPlan.cpp
+++ b/libs/keyspace/src/KeyPlan.cpp
@@ -50,7 +50,7 @@
 {
     KeyPlan plan;
     plan.service = service;
-    plan.ranges.push_back({ { 0, static_cast<fleet::Key>(fleet::keyCount - 1) }, {}, 0, std::nullopt });
+    plan.ranges.push_back({ { 0, static_cast<fleet::Key>(fleet::keyCount - 1) }, {}, 0, std::nullopt, false });
     return plan;
 }
 
@@ -73,7 +73,7 @@
             return malformedPlan("a fence above the last one");
         next = range.last() + 1;
         PlannedRange planned { { static_cast<fleet::Key>(range.first()), static_cast<fleet::Key>(range.last()) },
-            *owner, range.fence(), std::nullopt };
+            *owner, range.fence(), std::nullopt, range.blocked() };
         if (!successor->id.empty())
             planned.successor = Successor { *successor, range.successor_fence() };
         plan.ranges.push_back(std::move(planned));
@@ -105,6 +105,7 @@
         entry->set_last(range.keys.last);
         entry->set_owner(servers.indexOf(range.owner, message));
         entry->set_fence(range.fence);
+        entry->set_blocked(range.blocked);
         if (range.successor) {
             entry->set_successor(servers.indexOf(range.successor->server, message));
             entry->set_successor_fence(range.successor->fence);
--- a/libs/keyspace/src/Rebalancer.cpp
+++ b/libs/keyspace/src/Rebalancer.cpp
@@ -12,9 +12,10 @@
 constexpr double relieveLeastUtilization = 0.4;
 // Standard deviations of a Poisson count over the averaging time that a difference must exceed.
 constexpr double noiseFactor = 2;
-constexpr double averagingSeconds = 3;
-// Moves per decision; each one stops its keys for the running work.
-constexpr std::size_t movesPerDecision = 4;
+// Moves per decision, of all servers and of one; each move stops its keys for the running work.
+constexpr std::size_t leastMovesPerDecision = 4;
+constexpr std::size_t serversPerMove = 4;
+constexpr int movesFromServer = 3;
 // Ranges per server that are worth their renewals.
 constexpr std::size_t rangesPerServer = 8;
 // Load that a key without traffic counts for when keys are dealt out, relative to the mean load of a key.
@@ -98,6 +99,19 @@
     return best;
 }
 
+//! Takes keys at one end of a range out of the plan.
+void takeAway(KeyPlan& plan, fleet::KeyRange keys)
+{
+    auto index = plan.find(keys.first);
+    auto& range = plan.ranges[index].keys;
+    if (range == keys)
+        plan.ranges.erase(plan.ranges.begin() + static_cast<std::ptrdiff_t>(index));
+    else if (range.first == keys.first)
+        range.first = static_cast<fleet::Key>(keys.last + 1);
+    else
+        range.last = static_cast<fleet::Key>(keys.first - 1);
+}
+
 std::size_t rangesOf(const KeyPlan& plan, const fleet::ServerLife& server)
 {
     return static_cast<std::size_t>(std::count_if(
@@ -109,6 +123,8 @@
 std::vector<Move> rebalance(const KeyPlan& plan, const KeyLoad& load, const Capacities& capacities)
 {
     std::vector<Move> moves;
+    // The ranges without the keys that are to move already.
+    auto rest = plan;
     auto usage = usageOf(plan, load, capacities);
     if (usage.size() < 2)
         return moves;
@@ -120,26 +136,28 @@
     }
     double mean = totalLoad / totalCapacity;
     auto less = [](const Usage& left, const Usage& right) { return left.utilization() < right.utilization(); };
-    std::vector<fleet::ServerLife> given;
-    while (moves.size() < movesPerDecision) {
+    std::map<fleet::ServerLife, int> given;
+    auto limit = std::max(leastMovesPerDecision, usage.size() / serversPerMove);
+    while (moves.size() < limit) {
         std::sort(usage.begin(), usage.end(), less);
-        auto from = std::find_if(usage.rbegin(), usage.rend(),
-            [&](const Usage& entry) { return std::find(given.begin(), given.end(), entry.server) == given.end(); });
+        auto from = std::find_if(
+            usage.rbegin(), usage.rend(), [&](const Usage& entry) { return given[entry.server] < movesFromServer; });
         auto& to = usage.front();
         if (from == usage.rend() || from->utilization() < relieveAbove * mean
             || from->utilization() < relieveLeastUtilization)
             break;
         // Differences that the chance of arrivals explains do not justify a move.
-        double noise = noiseFactor * std::sqrt(std::max(1.0, from->load) / averagingSeconds);
+        double noise = noiseFactor * std::sqrt(std::max(1.0, from->load) / load.coveredSeconds());
         if (from->load < mean * from->capacity + noise)
             break;
-        given.push_back(from->server);
+        ++given[from->server];
         double excess = (from->utilization() - mean) * from->capacity;
         double space = (mean - to.utilization()) * to.capacity;
-        auto candidate = chooseKeys(plan, load, from->server, std::min(excess, std::max(0.0, space)));
+        auto candidate = chooseKeys(rest, load, from->server, std::min(excess, std::max(0.0, space)));
         if (!candidate || candidate->load <= 0 || rangesOf(plan, to.server) >= rangesPerServer)
             continue;
         moves.push_back({ candidate->keys, to.server });
+        takeAway(rest, candidate->keys);
         from->load -= candidate->load;
         to.load += candidate->load;
     }
--- a/libs/keyspace/tests/GrantKeeperTest.cpp
+++ b/libs/keyspace/tests/GrantKeeperTest.cpp
@@ -9,12 +9,21 @@
 namespace {
 
 constexpr Duration runTime = std::chrono::seconds(60);
-constexpr std::uint64_t seeds = 20;
+constexpr std::uint64_t seeds = 30;
+//! Longer than orders of an earlier coordinator may be on their way.
+constexpr Duration settleTime = std::chrono::milliseconds(500);
 
-//! Runs each seed under the faults, then without any, and checks that all keys have an owner again.
+//! Seeds that failed once: 20, the late renewal of an earlier coordinator came after the release; 269, the successor
+//! of an earlier coordinator held the keys when another successor got them; 306, the same over two changes.
+const std::vector<std::uint64_t> failedOnce { 20, 269, 306 };
+
+//! Runs each seed under the faults.
 void runSeeds(KeeperSimulation::Faults faults)
 {
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    std::vector<std::uint64_t> all = failedOnce;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        all.push_back(seed);
+    for (auto seed : all) {
         CAPTURE(seed);
         KeeperSimulation simulation(seed, faults);
         CHECK(simulation.run(runTime) == "");
@@ -136,7 +145,7 @@
 {
     StepByStep steps(servers({ "a", "b" }));
     steps.accept(steps.tick(std::chrono::milliseconds(10)));
-    auto renewals = steps.tick(std::chrono::milliseconds(1100));
+    auto renewals = steps.tick(settleTime + std::chrono::milliseconds(600));
     REQUIRE(renewals.size() == 2);
     auto listed = servers({ "a", "b" });
     listed["a"].state = fleet::ServerState::Draining;
@@ -156,6 +165,7 @@
     StepByStep steps(servers({ "a", "b" }));
     auto first = steps.tick(std::chrono::milliseconds(10));
     steps.accept(first);
+    steps.accept(steps.tick(settleTime));
     auto listed = servers({ "a", "b" });
     listed["a"].state = fleet::ServerState::Draining;
     steps.list(listed);
@@ -166,7 +176,7 @@
     REQUIRE(grants.size() == 1);
     CHECK(grants[0].server.id == "b");
     CHECK(grants[0].handover == "state");
-    CHECK(grants[0].fence > releases[0].fence);
+    CHECK(grants[0].fence > first[0].fence);
 }
 
 // Guards against a lost server whose keys nobody gets, and against a second owner before its hold is over.
--- a/libs/keyspace/tests/KeeperSimulation.cpp
+++ b/libs/keyspace/tests/KeeperSimulation.cpp
@@ -26,13 +26,13 @@
     }
     this->release(order);
     this->holdings.push_back({ order.keys, order.fence, arrived + order.holdTime });
-    auto& fence = this->seen[order.keys.first];
-    fence = std::max(fence, order.fence);
     return { OrderResult::Accepted, {} };
 }
 
 OrderAnswer FakeServer::release(const Order& order)
 {
+    auto& fence = this->seen[order.keys.first];
+    fence = std::max(fence, order.fence);
     std::vector<Hold> kept;
     for (const auto& hold : this->holdings) {
         bool overlaps = hold.keys.first <= order.keys.last && order.keys.first <= hold.keys.last;
--- a/libs/keyspace/tests/KeyPlanTest.cpp
+++ b/libs/keyspace/tests/KeyPlanTest.cpp
@@ -14,8 +14,8 @@
     plan.term = 3;
     plan.sequence = 9;
     plan.lastFence = 12;
-    plan.ranges.push_back({ { 0, 999 }, { "a", 5 }, 11, std::nullopt });
-    plan.ranges.push_back({ { 1000, 65535 }, { "b", 6 }, 7, Successor { { "a", 5 }, 12 } });
+    plan.ranges.push_back({ { 0, 999 }, { "a", 5 }, 11, std::nullopt, false });
+    plan.ranges.push_back({ { 1000, 65535 }, { "b", 6 }, 7, Successor { { "a", 5 }, 12 }, true });
     return plan;
 }
 
--- a/libs/keyspace/tests/RebalancerTest.cpp
+++ b/libs/keyspace/tests/RebalancerTest.cpp
@@ -30,7 +30,7 @@
     std::uint32_t width = fleet::keyCount / serverCount;
     for (std::uint32_t i = 0; i < serverCount; ++i)
         plan.ranges.push_back({ { static_cast<fleet::Key>(i * width), static_cast<fleet::Key>((i + 1) * width - 1) },
-            serverAt(i), i + 1, std::nullopt });
+            serverAt(i), i + 1, std::nullopt, false });
     plan.lastFence = serverCount;
     return plan;
 }
--- a/libs/tenure/include/tenure/TenureMachine.h
+++ b/libs/tenure/include/tenure/TenureMachine.h
@@ -27,6 +27,8 @@
     Duration readInterval = std::chrono::milliseconds(400);
     //! A coordinator without the store goes on renewing grants for this time at most.
     Duration longestWithoutStore = std::chrono::seconds(30);
+    //! A coordinator that hears neither the store nor its hosts for this time is cut off and ends its tenure.
+    Duration isolationLimit = std::chrono::milliseconds(1500);
     //! Wait before a takeover, at most; weak hosts wait longer, so that strong ones come first.
     Duration takeoverSpread = std::chrono::milliseconds(150);
     double strength = 1; //!< share of a processor core of this host
@@ -81,6 +83,8 @@
 
     //! The coordinator lives: a beacon of this term arrived.
     std::vector<TenureOutput> beaconReceived(std::uint64_t term, bool resigned, TimePoint now);
+    //! Another host reports to this coordinator.
+    void peerHeard(TimePoint now) { this->lastPeer = now; }
     //! Another host reports that it reaches the store while this coordinator does not.
     std::vector<TenureOutput> peerReachesStore(TimePoint now);
     //! The duty is given up, for example since this host stops.
@@ -132,6 +136,7 @@
     TimePoint lastRenewal {}; //!< sending time of the last successful write
     TimePoint lastWriteAttempt {};
     TimePoint lastSuccess {};
+    std::optional<TimePoint> lastPeer; //!< a report of another host in this tenure
     std::map<std::string, std::string> queuedPlans;
 };
 
--- a/libs/tenure/src/TenureMachine.cpp
+++ b/libs/tenure/src/TenureMachine.cpp
@@ -27,6 +27,8 @@
     if (this->leading) {
         if (!this->mayRenew(now))
             return this->lose("no contact with the store for too long");
+        if (this->lastPeer && this->storeSilent(now) && now - *this->lastPeer >= this->terms.isolationLimit)
+            return this->lose("neither the store nor other hosts are heard");
         if (this->resigning && !this->writeInProgress) {
             if (this->resignationQueued)
                 return {};
@@ -161,6 +163,7 @@
         std::vector<TenureOutput> outputs;
         if (!this->leading) {
             this->leading = true;
+            this->lastPeer.reset();
             this->knownAddress = this->address;
             outputs.emplace_back(BecameCoordinator { this->currentTerm });
         }
--- a/programs/node/src/ConfigurationWatcher.cpp
+++ b/programs/node/src/ConfigurationWatcher.cpp
@@ -10,6 +10,11 @@
 // A connection may go silent without an end, and a feed may miss changes before its history is dropped. Both are
 // noticed when the wait is over, well before a change has to be in force.
 constexpr std::int64_t followMillis = 1200;
+// While the coordinator tells the newest version, a feed that misses a change does no harm.
+constexpr std::int64_t longFollowMillis = 25'000;
+// Reads on a hint, and while the coordinator is not heard.
+constexpr Duration readInterval = std::chrono::milliseconds(400);
+constexpr Duration readAloneInterval = std::chrono::milliseconds(1000);
 constexpr Duration retryInterval = std::chrono::milliseconds(200);
 
 }
@@ -28,9 +33,27 @@
     this->readAll();
 }
 
+void ConfigurationWatcher::setCoordinatorHeard(bool heard)
+{
+    this->coordinatorHeard = heard;
+    // A long wait may be under way, which would not notice a connection that has gone silent.
+    if (!heard && !this->reading && this->reactor.now() - this->lastRead >= readAloneInterval)
+        this->readAll();
+}
+
+void ConfigurationWatcher::hint(std::uint64_t version)
+{
+    bool known = this->configuration && version <= this->configuration->version;
+    if (!known && !this->reading && this->reactor.now() - this->lastRead >= readInterval)
+        this->readAll();
+}
+
 void ConfigurationWatcher::readAll()
 {
+    this->reading = true;
+    this->lastRead = this->reactor.now();
     this->store.read(std::string(platform_adapter::operatorTable), [this](Result<store::RowPage> page) {
+        this->reading = false;
         if (!succeeded(page)) {
             this->retry(errorOf(page));
             return;
@@ -42,8 +65,12 @@
 
 void ConfigurationWatcher::follow()
 {
-    this->store.follow(std::string(platform_adapter::operatorTable), this->position, followMillis,
-        [this](Result<store::RowPage> page) {
+    if (this->following)
+        return;
+    this->following = true;
+    this->store.follow(std::string(platform_adapter::operatorTable), this->position,
+        this->coordinatorHeard ? longFollowMillis : followMillis, [this](Result<store::RowPage> page) {
+            this->following = false;
             if (succeeded(page))
                 this->take(valueOf(page));
             else
@@ -60,7 +87,12 @@
         this->events.record(timeline::Severity::Warn, "store_lost",
             { { "watch", "configuration" }, { "reason", error.message }, { "remedy", error.remedy } });
     }
-    this->reactor.scheduleAfter(retryInterval, [this] { this->complete ? this->follow() : this->readAll(); });
+    this->reactor.scheduleAfter(retryInterval, [this] {
+        if (this->complete)
+            this->follow();
+        else if (!this->reading)
+            this->readAll();
+    });
 }
 
 void ConfigurationWatcher::take(const store::RowPage& page)
@@ -70,7 +102,7 @@
         this->storeLost = false;
         this->events.record(timeline::Severity::Info, "store_regained", { { "watch", "configuration" } });
     }
-    this->position = page.newest;
+    this->position = std::max(this->position, page.newest);
     for (const auto& row : page.rows) {
         if (row.name.key != platform_adapter::configurationKey || row.removed)
             continue;
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -18,6 +18,10 @@
     ConfigurationWatcher(net::Reactor& reactor, store::RowStore& store, timeline::EventLog& events, Changed changed);
 
     void start();
+    //! Whether the coordinator tells the newest version, so that this host can follow the row with long waits.
+    void setCoordinatorHeard(bool heard);
+    //! The coordinator has this version.
+    void hint(std::uint64_t version);
     const std::shared_ptr<const fleet::Configuration>& current() const { return this->configuration; }
     //! Time of the last answer of the store.
     TimePoint lastContact() const { return this->lastAnswer; }
@@ -34,6 +38,10 @@
     Changed changed;
     std::shared_ptr<const fleet::Configuration> configuration;
     store::RowVersion position = 0;
+    bool coordinatorHeard = false;
+    bool following = false;
+    bool reading = false;
+    TimePoint lastRead {};
     bool complete = false; //!< the table was read, so that its changes can be followed
     TimePoint lastAnswer {};
     bool storeLost = false;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -16,6 +16,10 @@
 // Reports and beacons; a host turns to its own decisions after several missing beacons.
 constexpr Duration reportInterval = std::chrono::milliseconds(150);
 constexpr Duration beaconInterval = std::chrono::milliseconds(150);
+// A list that was not confirmed for this time is read from the store instead.
+constexpr Duration toldValidity = std::chrono::milliseconds(900);
+// The coordinator reads the list every 0.8 s; an answer may take some time.
+constexpr std::int64_t oldestTold = 1500;
 constexpr Duration plansRetry = std::chrono::milliseconds(150);
 
 balance::SchedulerTerms schedulingOf(const settings::Settings& settings)
@@ -129,7 +133,9 @@
     bool fromHost = datagram.has_report() || datagram.submits_size() > 0 || datagram.ends_size() > 0
         || datagram.withdrawals_size() > 0;
     if (fromHost && this->coordinator) {
-        this->send(this->coordinator->receive(datagram, sender));
+        this->coordinator->receive(datagram, sender);
+        this->tenure.peerHeard(this->reactor.now());
+        this->scheduleFlush();
         if (this->coordinator && this->coordinator->takePeerReachesStore())
             this->execute(this->tenure.peerReachesStore(this->reactor.now()));
         return;
@@ -157,12 +163,49 @@
                 { { "service", message.service() }, { "reason", errorOf(plan).message },
                     { "remedy", errorOf(plan).remedy } });
     }
+    this->takeDirectory(datagram.term(), beacon);
+    if (this->versionTold)
+        this->versionTold(beacon.configuration_version());
     this->heardCoordinator = true;
     this->placement->setHostCount(beacon.hosts());
     if (beacon.resigned())
         this->placement->coordinatorLost();
 }
 
+void CoordinationTask::takeDirectory(std::uint64_t term, const wire::Beacon& beacon)
+{
+    if (beacon.has_directory()) {
+        const auto& update = beacon.directory();
+        bool fits = update.base() == 0 || (term == this->toldTerm && update.base() == this->toldVersion);
+        if (fits) {
+            coordination::applyUpdate(update, this->toldServers);
+            this->toldTerm = term;
+            this->toldVersion = update.version();
+            this->lastTold = this->reactor.now();
+            if (this->directoryTold)
+                this->directoryTold(this->toldServers, true);
+        }
+    }
+    // A coordinator without the store tells an old list; hosts then look for themselves, and report what they reach.
+    bool current = beacon.store_contact_age_ms() < oldestTold;
+    if (!current || term != this->toldTerm || beacon.directory_version() != this->toldVersion)
+        return;
+    this->lastTold = this->reactor.now();
+    if (this->directoryTold)
+        this->directoryTold(this->toldServers, false);
+}
+
+void CoordinationTask::onTold(DirectoryTold directory, VersionTold version)
+{
+    this->directoryTold = std::move(directory);
+    this->versionTold = std::move(version);
+}
+
+bool CoordinationTask::hearsCoordinator() const
+{
+    return !this->coordinator && this->reactor.now() - this->lastTold < toldValidity;
+}
+
 void CoordinationTask::scheduleFlush()
 {
     if (this->flushScheduled)
@@ -177,13 +220,16 @@
 void CoordinationTask::flush()
 {
     wire::Datagram datagram;
-    if (!this->placement->takeMessages(datagram))
-        return;
+    bool any = this->placement->takeMessages(datagram);
     datagram.set_sender(this->incarnation);
     if (this->coordinator) {
-        this->send(this->coordinator->receive(datagram, this->address));
+        if (any)
+            this->coordinator->receive(datagram, this->address);
+        this->send(this->coordinator->takeAnswers());
         return;
     }
+    if (!any)
+        return;
     auto target = net::SocketAddress::parse(this->tenure.coordinatorAddress());
     if (!succeeded(target))
         return;
@@ -234,11 +280,14 @@
     datagram.set_sender(this->incarnation);
     auto* message = datagram.mutable_report();
     this->placement->fillReport(*message);
+    message->set_directory_term(this->toldTerm);
+    message->set_directory_version(this->toldVersion);
     message->set_store_contact_age_ms(toMillis(this->reactor.now() - this->storeContact()));
     if (this->coordinator) {
         // This host's own contact says nothing about others.
         message->set_store_contact_age_ms(std::numeric_limits<std::int64_t>::max());
-        this->send(this->coordinator->receive(datagram, this->address));
+        this->coordinator->receive(datagram, this->address);
+        this->send(this->coordinator->takeAnswers());
         return;
     }
     auto target = net::SocketAddress::parse(this->tenure.coordinatorAddress());
@@ -354,7 +403,8 @@
     if (!this->coordinator)
         return;
     auto now = this->reactor.now();
-    this->send(this->coordinator->tick());
+    this->coordinator->tick();
+    this->send(this->coordinator->takeAnswers());
     if (!this->coordinator)
         return;
     if (this->coordinator->isSuperseded()) {
@@ -363,7 +413,8 @@
     }
     if (now - this->lastBeacon >= beaconInterval) {
         this->lastBeacon = now;
-        this->send(this->coordinator->beacons(this->tenure.isResigning()));
+        this->send(this->coordinator->beacons(
+            this->tenure.isResigning(), toMillis(this->reactor.now() - this->storeContact())));
     }
     bool wrote = false;
     for (const auto& plan : this->coordinator->takeWrites()) {
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -35,6 +35,12 @@
     bool isReady() const;
     //! Hands the duty over, if this host has it.
     void resign();
+    //! What the coordinator tells: the list of backend servers, and the newest configuration version.
+    using DirectoryTold = std::function<void(const fleet::ServerMap&, bool changed)>;
+    using VersionTold = std::function<void(std::uint64_t)>;
+    void onTold(DirectoryTold directory, VersionTold version);
+    //! Whether this host relies on the coordinator for what the store says.
+    bool hearsCoordinator() const;
     void closeIdle() { this->orders.closeIdle(); }
 
     bool isCoordinator() const { return this->coordinator != nullptr; }
@@ -47,6 +53,7 @@
     void received(std::string_view bytes, const net::SocketAddress& sender);
     void handle(const wire::Datagram& datagram, const std::string& sender);
     void handleBeacon(const wire::Datagram& datagram);
+    void takeDirectory(std::uint64_t term, const wire::Beacon& beacon);
     void scheduleFlush();
     void flush();
     void send(const std::vector<coordination::Outgoing>& messages);
@@ -79,6 +86,13 @@
     platform_adapter::OrderSender orders;
     std::shared_ptr<const fleet::Configuration> configuration;
     fleet::ServerMap servers;
+    DirectoryTold directoryTold;
+    VersionTold versionTold;
+    //! The list as the coordinator told it, with its term and version.
+    fleet::ServerMap toldServers;
+    std::uint64_t toldTerm = 0;
+    std::uint64_t toldVersion = 0;
+    TimePoint lastTold {};
     std::uint64_t heardTerm = 0;
     bool heardCoordinator = false;
     bool flushScheduled = false;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration sweepInterval = std::chrono::seconds(1);
+constexpr Duration sourceInterval = std::chrono::milliseconds(200);
 // The platform stops sending connections after two missed questions, a second apart.
 constexpr Duration outOfRotation = std::chrono::milliseconds(2600);
 // The process ends this long before it would be killed.
@@ -76,13 +77,32 @@
     auto listening = this->edge->listen(valueOf(edgeAddress));
     if (!succeeded(listening))
         return errorOf(listening);
+    this->coordination->onTold(
+        [this](const fleet::ServerMap& listed, bool changed) {
+            if (changed)
+                this->servers->adopt(listed);
+            else
+                this->servers->confirm();
+        },
+        [this](std::uint64_t version) { this->configuration->hint(version); });
     this->configuration->start();
     this->servers->start();
     this->coordination->start();
     this->sweep();
+    this->chooseSources();
     return Done {};
 }
 
+// Calls to the store are dear, so one host reads the list of servers and tells the others. A host that does not hear
+// it reads on its own.
+void NodeService::chooseSources()
+{
+    bool told = this->coordination->hearsCoordinator();
+    this->servers->setReading(!told);
+    this->configuration->setCoordinatorHeard(told);
+    this->reactor.scheduleAfter(sourceInterval, [this] { this->chooseSources(); });
+}
+
 bool NodeService::isReady() const
 {
     return !this->stopping && this->configuration->current() && !this->servers->servers().empty()
@@ -124,6 +144,9 @@
         this->edge->stopListening();
         drained = this->edge->closeIdleConnections() == 0;
     }
+    // Requests without a server by then could not be finished; they are told so while they can go elsewhere.
+    if (elapsed >= this->grace / 2)
+        this->edge->refuseWaiting();
     if (drained || elapsed >= this->grace - endMargin) {
         this->events.record(timeline::Severity::Info, "stop_finished",
             { { "connections_left", std::to_string(this->edge->connectionCount()) },
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -28,6 +28,7 @@
     bool isReady() const;
     TextPage page(const std::string& path) const;
     void sweep();
+    void chooseSources();
     void continueStop();
 
     Duration grace;
--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -32,8 +32,37 @@
     this->readAll();
 }
 
+void ServerWatcher::setReading(bool wanted)
+{
+    this->enabled = wanted;
+    if (wanted && !this->scheduled)
+        this->readAll();
+}
+
+void ServerWatcher::adopt(const fleet::ServerMap& listed)
+{
+    auto before = this->directory.servers();
+    if (this->directory.adopt(listed, this->reactor.now()))
+        this->publish(before);
+}
+
+void ServerWatcher::confirm()
+{
+    this->directory.confirm(this->reactor.now());
+}
+
+void ServerWatcher::scheduleRead(TimePoint when)
+{
+    this->reactor.schedule(when, [this] {
+        this->scheduled = false;
+        if (this->enabled)
+            this->readAll();
+    });
+}
+
 void ServerWatcher::readAll()
 {
+    this->scheduled = true;
     auto begun = this->reactor.now();
     this->store.read(std::string(platform_adapter::serverTable), [this, begun](Result<store::RowPage> page) {
         if (succeeded(page))
@@ -44,7 +73,7 @@
                 { { "watch", "servers" }, { "reason", errorOf(page).message }, { "remedy", errorOf(page).remedy } });
         }
         auto next = std::max(begun + readInterval, this->reactor.now() + readInterval / 4);
-        this->reactor.schedule(next, [this] { this->readAll(); });
+        this->scheduleRead(next);
     });
 }
 
@@ -68,8 +97,13 @@
                     { "reason", errorOf(entry).message }, { "remedy", errorOf(entry).remedy } });
     }
     auto before = this->directory.servers();
-    if (!this->directory.update(entries, this->reactor.now()))
-        return;
+    // A read that was asked for before the coordinator was heard is older than what it tells.
+    if (this->enabled && this->directory.update(entries, this->reactor.now()))
+        this->publish(before);
+}
+
+void ServerWatcher::publish(const fleet::ServerMap& before)
+{
     this->logChanges(before);
     this->changed(this->directory.servers());
 }
