Bounded logs that never wait, metrics with histograms, and a test of bodies that cannot be sent again

Cause: lines went to standard error and waited for their reader, requests were logged at debug only, and there was no metrics page. Ruled out: a thread that writes (one more stack and a wake-up for each line). A trial without the check of bodyReplayable in libs/dispatch passed all tests before; the new test fails without it.

--- a/libs/dispatch/tests/RequestMachineTest.cpp
+++ b/libs/dispatch/tests/RequestMachineTest.cpp
@@ -295,3 +295,23 @@
     CHECK(retries <= requests * ratio + 10);
     CHECK_FALSE(RetryBudget(0).take());
 }
+
+// Guards against a body that is sent again without its beginning: a trial without the check of bodyReplayable in
+// RequestMachine::mayRetry passed all tests before this one.
+TEST_CASE("a request whose body was partly given up is not sent again, although the server did not run it")
+{
+    for (bool givenUp : { false, true }) {
+        CAPTURE(givenUp);
+        RetryBudget budget(0.5);
+        RandomEngine random { 7 };
+        RequestMachine machine({ true, start + lifetime, attemptTimeout }, budget);
+        machine.start();
+        machine.handle(event::SlotGranted {}, start, random);
+        machine.handle(event::FirstByteSent { 1 }, start, random);
+        if (givenUp)
+            machine.handle(event::BodyNotReplayable {}, start, random);
+        auto actions = machine.handle(event::ServerRejected { 1 }, start, random);
+        CHECK((countOf<action::RefuseCaller>(actions) == 1) == givenUp);
+        CHECK((machine.state() == RequestState::Finished) == givenUp);
+    }
+}
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -4,6 +4,7 @@
 #include "edge/Counters.h"
 #include "edge/HeaderNames.h"
 #include "edge/Placer.h"
+#include "edge/RequestMetrics.h"
 #include "fleet/Configuration.h"
 #include "net/TcpListener.h"
 #include "timeline/EventLog.h"
@@ -16,6 +17,7 @@
 namespace sequoia::edge {
 
 class CallerConnection;
+class RequestLog;
 class TrafficSplit;
 
 //! What the requests of a process share.
@@ -31,6 +33,8 @@
     std::shared_ptr<const fleet::Configuration> configuration;
     bool stopping = false;
     std::uint64_t lastJob = 0;
+    RequestLog& requestLog;
+    RequestMetrics& metrics;
     //! Longest deadline that callers sent on each route; a shorter one tells how long the caller has waited.
     std::map<std::string, Duration> longestDeadline;
 };
@@ -59,6 +63,7 @@
     //! Refuses the requests that no backend server has yet.
     void refuseWaiting();
 
+    const RequestMetrics& metrics() const { return this->requestMetrics; }
     const Counters& counters() const { return this->totals; }
     std::uint64_t openedBackendConnections() const { return this->backends.openedConnections(); }
     std::size_t connectionCount() const { return this->connections.size(); }
@@ -71,6 +76,8 @@
     Counters totals;
     client::ConnectionPool backends;
     std::unique_ptr<TrafficSplit> split;
+    std::unique_ptr<RequestLog> requestLog;
+    RequestMetrics requestMetrics;
     EdgeContext context;
     std::unique_ptr<net::TcpListener> listener;
     std::map<CallerConnection*, std::unique_ptr<CallerConnection>> connections;
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -1,6 +1,7 @@
 #include "edge/EdgeServer.h"
 
 #include "CallerConnection.h"
+#include "RequestLog.h"
 #include "edge/TrafficSplit.h"
 
 namespace sequoia::edge {
@@ -17,7 +18,9 @@
     , names(std::move(headerNames))
     , backends(owner, backendIdleLimit)
     , split(std::make_unique<TrafficSplit>())
-    , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0, {} }
+    , requestLog(std::make_unique<RequestLog>(events, owner.time()))
+    , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0,
+        *this->requestLog, this->requestMetrics, {} }
 {
 }
 
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -1,5 +1,6 @@
 #include "Exchange.h"
 
+#include "RequestLog.h"
 #include "edge/TrafficSplit.h"
 
 #include <algorithm>
@@ -287,7 +288,8 @@
         if (complete) {
             this->connection = nullptr;
             this->endAttempt(balance::JobResult::Answered);
-            this->finish();
+            ++this->context.counters.answered;
+            this->finish(RequestOutcome::Answered);
         } else if (this->sink.unsentBytes() > unsentLimit)
             this->connection->setReading(false);
         return;
@@ -322,7 +324,8 @@
     if (!complete)
         return;
     this->endAttempt(serverFailed ? balance::JobResult::ServerError : balance::JobResult::Answered);
-    this->finish();
+    ++this->context.counters.answered;
+    this->finish(serverFailed ? RequestOutcome::ServerFailed : RequestOutcome::Answered);
 }
 
 void Exchange::onFailure(client::ExchangeFailure failure, const std::string& reason)
@@ -337,7 +340,7 @@
     this->mayHaveRun = true;
     if (this->passing) {
         this->sink.breakOff();
-        this->finish();
+        this->finish(RequestOutcome::Failed);
         return;
     }
     this->retryOrAnswer(502, reason);
@@ -389,7 +392,7 @@
     ++(status == 502 || status == 504 ? this->context.counters.failed : this->context.counters.refused);
     this->logOutcome("own-answer", status, reason);
     this->sink.sendOwn(status, retryAfter, reason);
-    this->finish();
+    this->finish(status == 502 || status == 504 ? RequestOutcome::Failed : RequestOutcome::Refused);
 }
 
 void Exchange::onTimeLimit()
@@ -401,7 +404,7 @@
         this->endAttempt(balance::JobResult::TimedOut);
         this->logOutcome("broken-off", 0, "time limit");
         this->sink.breakOff();
-        this->finish();
+        this->finish(RequestOutcome::Failed);
         return;
     }
     if (this->connection) {
@@ -448,12 +451,15 @@
         this->context.placer.withdraw(this->job);
     this->job = 0;
     this->logOutcome("caller-gone", 0, "the caller closed its connection");
-    this->finish();
+    this->finish(RequestOutcome::CallerGone);
 }
 
-void Exchange::finish()
+void Exchange::finish(RequestOutcome outcome)
 {
     this->finished = true;
+    if (this->route)
+        this->context.metrics.record(
+            this->route->kind, this->service, outcome, this->context.reactor.now() - this->arrived);
     if (this->timer)
         this->context.reactor.cancel(*this->timer);
     this->timer.reset();
@@ -462,9 +468,10 @@
 
 void Exchange::logOutcome(const std::string& outcome, unsigned status, const std::string& reason)
 {
+    // Answers of backend servers are the rule and are counted only.
     auto millis = [](Duration time) { return std::to_string(toMillis(time)); };
     auto now = this->context.reactor.now();
-    this->context.events.record(timeline::Severity::Debug, "request",
+    this->context.requestLog.record(
         { { "request", this->requestId }, { "outcome", outcome }, { "status", std::to_string(status) },
             { "reason", reason }, { "route", this->route ? this->route->name : "" },
             { "config", std::to_string(this->configuration ? this->configuration->version : 0) },
--- a/libs/edge/src/Exchange.h
+++ b/libs/edge/src/Exchange.h
@@ -66,7 +66,7 @@
     void retryOrAnswer(unsigned status, const std::string& reason);
     void answerOwn(unsigned status, Duration retryAfter, const std::string& reason);
     void onTimeLimit();
-    void finish();
+    void finish(RequestOutcome outcome);
     void logOutcome(const std::string& outcome, unsigned status, const std::string& reason);
 
     EdgeContext& context;
--- /dev/null
+++ b/libs/edge/src/RequestLog.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "timeline/EventLog.h"
+
+namespace sequoia::edge {
+
+//! Log lines of requests, at most so many a second. Lines beyond that are counted, and the count is logged.
+class RequestLog {
+public:
+    RequestLog(timeline::EventLog& events, const Clock& clock);
+
+    void record(timeline::Fields fields);
+
+private:
+    timeline::EventLog& events;
+    const Clock& clock;
+    TimePoint secondStart {};
+    unsigned linesInSecond = 0;
+    std::uint64_t suppressed = 0;
+};
+
+}
--- a/libs/runtime/include/runtime/Program.h
+++ b/libs/runtime/include/runtime/Program.h
@@ -45,6 +45,7 @@
     std::string name; //!< for example sequoia-router
     std::string role; //!< first part of the process name on the time line, for example router
     std::string usage; //!< text of --help
+    timeline::LogTarget logTarget = timeline::LogTarget::StandardError;
 };
 
 using ServiceFactory = std::function<Result<std::unique_ptr<Service>>(const ProgramContext&)>;
--- a/libs/runtime/src/Program.cpp
+++ b/libs/runtime/src/Program.cpp
@@ -57,7 +57,7 @@
 
 int runService(const settings::Settings& loaded, const ProgramDescription& description, const ServiceFactory& factory)
 {
-    timeline::configureLogging(loaded.text("log", "level"));
+    timeline::configureLogging(loaded.text("log", "level"), description.logTarget);
     SystemClock clock;
     const auto& host = loaded.text("host", "id");
     timeline::EventLog events(description.role + "@" + (host.empty() ? "local" : host), clock,
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -72,6 +72,7 @@
     { "edge", "listen", Address, "127.0.0.1:8180", 0, 0, "address for callers' HTTP of sequoia-node" },
     { "edge", "ready_listen", Address, "127.0.0.1:8181", 0, 0, "address at which the platform asks for readiness" },
     { "edge", "grace", Duration, "6s", second, 10 * minute, "time from SIGTERM until the process is killed" },
+    { "metrics", "listen", Address, "127.0.0.1:9464", 0, 0, "address of the metrics page of sequoia-node" },
     { "peers", "listen", Address, "127.0.0.1:8190", 0, 0, "UDP address for messages between hosts" },
     { "store", "address", Address, "127.0.0.1:7100", 0, 0, "HTTP address of the platform's store" },
     { "store", "call_timeout", Duration, "1200ms", 10 * millisecond, minute, "time limit of one call to the store" },
--- a/libs/timeline/include/timeline/EventLog.h
+++ b/libs/timeline/include/timeline/EventLog.h
@@ -47,8 +47,14 @@
     std::uint64_t lastNumber = 0;
 };
 
-//! Sets up log4cxx to write the lines to standard error; `level` is debug, info, warn or error.
-void configureLogging(std::string_view level);
+//! Where log lines go.
+enum class LogTarget {
+    StandardError, //!< waits for its reader
+    StandardOutput, //!< never waits; lines that the reader does not take in time are dropped and counted
+};
+
+//! Sets up log4cxx; `level` is debug, info, warn or error.
+void configureLogging(std::string_view level, LogTarget target = LogTarget::StandardError);
 
 //! One line of key=value pairs; values with spaces, quotes or control characters are quoted.
 std::string formatEvent(std::string_view severity, const wire::Event& event);
--- a/libs/timeline/src/EventLog.cpp
+++ b/libs/timeline/src/EventLog.cpp
@@ -1,13 +1,16 @@
 #include "timeline/EventLog.h"
 
 #include "core/EnumTable.h"
+#include "timeline/BoundedWriter.h"
 
 #include <algorithm>
 #include <cassert>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 namespace sequoia::timeline {
 
@@ -20,6 +23,25 @@
     { Severity::Error, "error" },
 } };
 
+// Some seconds of lines at the rate at which requests are logged.
+constexpr std::size_t logBufferLimit = std::size_t { 256 } * 1024;
+
+//! Passes lines to standard output without waiting for its reader.
+class BoundedAppender final : public log4cxx::AppenderSkeleton {
+public:
+    void close() override { }
+    bool requiresLayout() const override { return false; }
+
+protected:
+    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool&) override
+    {
+        this->writer.write(event->getMessage() + "\n");
+    }
+
+private:
+    BoundedWriter writer { STDOUT_FILENO, logBufferLimit };
+};
+
 log4cxx::LevelPtr levelOf(Severity severity)
 {
     switch (severity) {
@@ -127,13 +149,17 @@
     return { std::move(events), wanted > events.size() ? wanted - events.size() : 0 };
 }
 
-void configureLogging(std::string_view level)
+void configureLogging(std::string_view level, LogTarget target)
 {
-    auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
     auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    if (target == LogTarget::StandardOutput)
+        root->addAppender(std::make_shared<BoundedAppender>());
+    else {
+        auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
+        root->addAppender(
+            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr()));
+    }
     auto severity = valueNamed(severityNames, level).value_or(Severity::Info);
     root->setLevel(levelOf(severity));
 }
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -43,6 +43,8 @@
     bool hearsCoordinator() const;
     void closeIdle() { this->orders.closeIdle(); }
 
+    std::size_t waitingJobs() const { return this->placement->waitingJobs(); }
+    bool usesCoordinator() const { return this->placement->usesCoordinator(); }
     bool isCoordinator() const { return this->coordinator != nullptr; }
     const coordination::Coordinator* coordinatorState() const { return this->coordinator.get(); }
 
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -69,11 +69,19 @@
         return errorOf(readyAddress);
     if (!succeeded(edgeAddress))
         return errorOf(edgeAddress);
-    auto endpoint = ReadyEndpoint::listen(
+    auto endpoint = TextEndpoint::listen(
         this->reactor, valueOf(readyAddress), [this](const std::string& path) { return this->page(path); });
     if (!succeeded(endpoint))
         return errorOf(endpoint);
     this->ready = std::move(valueOf(endpoint));
+    auto metricsAddress = net::SocketAddress::parse(settings.text("metrics", "listen"));
+    if (!succeeded(metricsAddress))
+        return errorOf(metricsAddress);
+    auto metricsEndpoint = TextEndpoint::listen(
+        this->reactor, valueOf(metricsAddress), [this](const std::string& path) { return this->metricsPage(path); });
+    if (!succeeded(metricsEndpoint))
+        return errorOf(metricsEndpoint);
+    this->metrics = std::move(valueOf(metricsEndpoint));
     auto listening = this->edge->listen(valueOf(edgeAddress));
     if (!succeeded(listening))
         return errorOf(listening);
@@ -116,6 +124,48 @@
     return this->isReady() ? TextPage { 200, "ready\n" } : TextPage { 503, "not ready\n" };
 }
 
+TextPage NodeService::metricsPage(const std::string& path) const
+{
+    if (path != "/metrics")
+        return { 404, "no such page; the metrics are at /metrics\n" };
+    auto now = this->reactor.now();
+    std::string text = this->edge->metrics().toText();
+    auto add = [&text](const char* name, const char* type, const char* help, double value) {
+        text += std::string("# HELP ") + name + " " + help + "\n# TYPE " + name + " " + type + "\n" + name + " "
+            + std::to_string(value) + "\n";
+    };
+    auto seconds = [now](TimePoint since) { return std::chrono::duration<double>(now - since).count(); };
+    auto count = [](auto value) { return static_cast<double>(value); };
+    const auto& counters = this->edge->counters();
+    const auto& current = this->configuration->current();
+    const auto* coordinator = this->coordination->coordinatorState();
+    add("sequoia_ready", "gauge", "1 when this host takes connections.", this->isReady() ? 1 : 0);
+    add("sequoia_requests_total", "counter", "Requests read.", count(counters.requests));
+    add("sequoia_attempts_total", "counter", "Requests sent to backend servers.", count(counters.attempts));
+    add("sequoia_backend_connections_opened_total", "counter", "Connections opened to backend servers.",
+        count(this->edge->openedBackendConnections()));
+    add("sequoia_caller_connections", "gauge", "Open connections of callers.", count(this->edge->connectionCount()));
+    add("sequoia_store_calls_total", "counter", "Calls to the platform's store.", count(this->store.callCount()));
+    add("sequoia_configuration_version", "gauge", "Version of the configuration in force.",
+        current ? count(current->version) : 0);
+    add("sequoia_configuration_age_seconds", "gauge", "Time since the store last answered about the configuration.",
+        seconds(this->configuration->lastContact()));
+    add("sequoia_servers_age_seconds", "gauge", "Time since the store last answered about backend servers.",
+        seconds(this->servers->lastContact()));
+    add("sequoia_servers", "gauge", "Backend servers known.", count(this->servers->servers().size()));
+    add("sequoia_waiting_jobs", "gauge", "Requests of this host that wait for a backend server.",
+        count(this->coordination->waitingJobs()));
+    add("sequoia_uses_coordinator", "gauge", "1 when a coordinator places the requests of this host.",
+        this->coordination->usesCoordinator() ? 1 : 0);
+    add("sequoia_coordinator_term", "gauge", "Term of this host's tenure as coordinator; 0 when it has none.",
+        coordinator ? count(coordinator->term()) : 0);
+    add("sequoia_coordinator_hosts", "gauge", "Hosts that report to this coordinator.",
+        coordinator ? count(coordinator->hostCount()) : 0);
+    add("sequoia_coordinator_waiting_jobs", "gauge", "Requests of all hosts that wait here.",
+        coordinator ? count(coordinator->waitingJobs()) : 0);
+    return { 200, text };
+}
+
 void NodeService::sweep()
 {
     this->edge->closeIdleBackends();
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -2,7 +2,7 @@
 
 #include "ConfigurationWatcher.h"
 #include "CoordinationTask.h"
-#include "ReadyEndpoint.h"
+#include "TextEndpoint.h"
 #include "ServerWatcher.h"
 #include "edge/EdgeServer.h"
 #include "platform_adapter/StoreClient.h"
@@ -27,6 +27,7 @@
     Result<Done> start(const runtime::ProgramContext& context);
     bool isReady() const;
     TextPage page(const std::string& path) const;
+    TextPage metricsPage(const std::string& path) const;
     void sweep();
     void chooseSources();
     void continueStop();
@@ -39,7 +40,8 @@
     std::unique_ptr<edge::EdgeServer> edge;
     std::unique_ptr<ConfigurationWatcher> configuration;
     std::unique_ptr<ServerWatcher> servers;
-    std::unique_ptr<ReadyEndpoint> ready;
+    std::unique_ptr<TextEndpoint> ready;
+    std::unique_ptr<TextEndpoint> metrics;
     fleet::ServerMap knownServers;
     bool stopping = false;
     TimePoint stopStarted {};
--- a/programs/node/src/ReadyEndpoint.cpp
+++ b/programs/node/src/TextEndpoint.cpp
@@ -1,4 +1,4 @@
-#include "ReadyEndpoint.h"
+#include "TextEndpoint.h"
 
 namespace sequoia::node {
 
@@ -8,9 +8,9 @@
 
 }
 
-class ReadyEndpoint::Connection final : public net::StreamObserver {
+class TextEndpoint::Connection final : public net::StreamObserver {
 public:
-    Connection(ReadyEndpoint& endpoint, int descriptor)
+    Connection(TextEndpoint& endpoint, int descriptor)
         : owner(endpoint)
         , stream(endpoint.reactor, descriptor, *this)
         , parser(std::make_unique<http::MessageParser>(http::MessageType::Request, headerLimit))
@@ -52,21 +52,21 @@
         this->owner.reactor.defer([self] {});
     }
 
-    ReadyEndpoint& owner;
+    TextEndpoint& owner;
     net::TcpStream stream;
     std::unique_ptr<http::MessageParser> parser;
 };
 
-ReadyEndpoint::ReadyEndpoint(net::Reactor& owner, Handler pages)
+TextEndpoint::TextEndpoint(net::Reactor& owner, Handler pages)
     : reactor(owner)
     , handler(std::move(pages))
 {
 }
 
-Result<std::unique_ptr<ReadyEndpoint>> ReadyEndpoint::listen(
+Result<std::unique_ptr<TextEndpoint>> TextEndpoint::listen(
     net::Reactor& reactor, const net::SocketAddress& address, Handler handler)
 {
-    std::unique_ptr<ReadyEndpoint> endpoint(new ReadyEndpoint(reactor, std::move(handler)));
+    std::unique_ptr<TextEndpoint> endpoint(new TextEndpoint(reactor, std::move(handler)));
     auto listener = net::TcpListener::listen(
         reactor, address, [raw = endpoint.get()](int descriptor) { raw->accept(descriptor); });
     if (!succeeded(listener))
@@ -75,7 +75,7 @@
     return endpoint;
 }
 
-void ReadyEndpoint::accept(int descriptor)
+void TextEndpoint::accept(int descriptor)
 {
     auto connection = std::make_shared<Connection>(*this, descriptor);
     this->connections[connection.get()] = connection;
--- a/programs/node/src/ReadyEndpoint.h
+++ b/programs/node/src/TextEndpoint.h
@@ -18,17 +18,17 @@
 };
 
 //! Serves short texts by path: readiness, metrics.
-class ReadyEndpoint {
+class TextEndpoint {
 public:
     using Handler = std::function<TextPage(const std::string& path)>;
 
-    static Result<std::unique_ptr<ReadyEndpoint>> listen(
+    static Result<std::unique_ptr<TextEndpoint>> listen(
         net::Reactor& reactor, const net::SocketAddress& address, Handler handler);
 
 private:
     class Connection;
 
-    ReadyEndpoint(net::Reactor& reactor, Handler handler);
+    TextEndpoint(net::Reactor& reactor, Handler handler);
     void accept(int descriptor);
 
     net::Reactor& reactor;
