Strong hosts coordinate; copies of plans are sent seldom; fewer calls while the store is away

Weak hosts now wait longer before a takeover and hand the duty to a strong host; plans go out every 50 ms times the hosts. Hosts now also refuse placements on servers that they know to be leaving. Ruled out: the size of a row (no write was refused for it), processor time (0.05 of a core).

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -53,6 +53,8 @@
     std::uint64_t term() const { return this->currentTerm; }
     std::size_t hostCount() const { return this->hosts.size(); }
     std::size_t waitingJobs() const { return this->scheduler.waitingJobs(); }
+    //! Processor share of the strongest host that has reported for some time.
+    double strongestHost() const;
     //! A report showed that another host reaches the store; cleared by the call.
     bool takePeerReachesStore();
 
@@ -65,6 +67,9 @@
         std::map<std::string, std::uint64_t> planSequences;
         std::uint64_t directoryVersion = 0; //!< of this coordinator's list; 0 when the host has none
         TimePoint directorySent {};
+        std::map<std::string, TimePoint> planSent; //!< by service
+        double strength = 0;
+        TimePoint firstReport {};
     };
     struct KeyedService {
         std::unique_ptr<keyspace::GrantKeeper> keeper;
@@ -81,6 +86,7 @@
     void answerPlaced(const std::string& address, std::uint64_t job, const std::string& server);
     void collect(const std::vector<balance::Decision>& decisions);
     wire::Datagram& answerTo(const std::string& address);
+    void fillPlans(Host& host, wire::Beacon& beacon);
     void fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists);
     void updateCapacities();
     void tickKeepers();
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -13,6 +13,10 @@
 // Load of keys is brought up to date at this interval.
 constexpr Duration loadInterval = std::chrono::milliseconds(250);
 // Longer than a report takes; the whole list has some 80 bytes per server, so that few hosts get it at once.
+constexpr Duration leastPlanInterval = std::chrono::milliseconds(500);
+constexpr Duration planIntervalPerHost = std::chrono::milliseconds(50);
+// A host that has reported for this time is there to stay.
+constexpr Duration steadyReports = std::chrono::seconds(2);
 constexpr Duration directoryResend = std::chrono::milliseconds(350);
 constexpr unsigned wholeListsAtOnce = 8;
 // A host that reached the store within this time reaches it.
@@ -80,6 +84,7 @@
     if (host.number == 0) {
         host.number = ++this->lastHost;
         this->addressOfHost[host.number] = address;
+        host.firstReport = this->clock.now();
     }
     host.address = address;
     host.lastReport = this->clock.now();
@@ -181,6 +186,7 @@
     host.planSequences.clear();
     for (int i = 0; i < report.plan_services_size() && i < report.plan_sequences_size(); ++i)
         host.planSequences[report.plan_services(i)] = report.plan_sequences(i);
+    host.strength = report.strength();
     host.directoryVersion = report.directory_term() == this->currentTerm ? report.directory_version() : 0;
     if (report.store_contact_age_ms() < reachesStoreMillis)
         this->peerReachesStore = true;
@@ -279,16 +285,40 @@
         beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
         beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
         beacon->set_resigned(resigned);
-        for (const auto& [service, entry] : this->keyed) {
-            auto known = host.planSequences.find(service);
-            if (known == host.planSequences.end() || known->second != entry.keeper->plan().sequence)
-                *beacon->add_plans() = entry.keeper->plan().toWire();
-        }
+        this->fillPlans(host, *beacon);
         result.push_back(std::move(outgoing));
     }
     return result;
 }
 
+// Hosts need the plan only while they decide alone, and it has some ten kilobytes for a hundred servers; so they get
+// it the more seldom, the more they are.
+void Coordinator::fillPlans(Host& host, wire::Beacon& beacon)
+{
+    auto now = this->clock.now();
+    auto interval = std::max(leastPlanInterval, planIntervalPerHost * static_cast<std::int64_t>(this->hosts.size()));
+    for (const auto& [service, entry] : this->keyed) {
+        auto known = host.planSequences.find(service);
+        if (known != host.planSequences.end() && known->second == entry.keeper->plan().sequence)
+            continue;
+        auto& sent = host.planSent[service];
+        if (sent != TimePoint() && now - sent < interval)
+            continue;
+        sent = now;
+        *beacon.add_plans() = entry.keeper->plan().toWire();
+    }
+}
+
+double Coordinator::strongestHost() const
+{
+    double strongest = 0;
+    for (const auto& [incarnation, host] : this->hosts) {
+        if (this->clock.now() - host.firstReport >= steadyReports)
+            strongest = std::max(strongest, host.strength);
+    }
+    return strongest;
+}
+
 void Coordinator::fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists)
 {
     auto now = this->clock.now();
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -161,6 +161,13 @@
             this->queueEnd(number, balance::JobResult::Abandoned, {});
         return;
     }
+    auto known = this->servers.find(server);
+    if (byCoordinator && known != this->servers.end() && known->second.state == fleet::ServerState::Draining) {
+        // This host knows better: the coordinator's list may be old when it does not reach the store.
+        this->queueEnd(number, balance::JobResult::Abandoned, {});
+        this->submitLocally(number);
+        return;
+    }
     auto* observer = found->second.observer;
     this->pending.erase(found);
     this->placedJobs[number] = byCoordinator;
--- a/libs/tenure/include/tenure/TenureMachine.h
+++ b/libs/tenure/include/tenure/TenureMachine.h
@@ -25,13 +25,19 @@
     //! Without a beacon for this time, a host reads the row.
     Duration beaconSilence = std::chrono::milliseconds(800);
     Duration readInterval = std::chrono::milliseconds(400);
+    //! While the row keeps changing, its coordinator lives and only its beacons do not arrive here.
+    Duration readIntervalOfLiving = std::chrono::milliseconds(2000);
     //! A coordinator without the store goes on renewing grants for this time at most.
     Duration longestWithoutStore = std::chrono::seconds(30);
     //! A coordinator that hears neither the store nor its hosts for this time is cut off and ends its tenure.
     Duration isolationLimit = std::chrono::milliseconds(1500);
-    //! Wait before a takeover, at most; weak hosts wait longer, so that strong ones come first.
-    Duration takeoverSpread = std::chrono::milliseconds(150);
+    //! Weak hosts wait up to this time before a takeover, so that strong ones come first: the coordinator places the
+    //! requests of all hosts, which is more than a tenth of a core can do for sixty of them.
+    Duration weakestWait = std::chrono::milliseconds(900);
+    //! Equal hosts are separated by a random wait up to this time.
+    Duration takeoverSpread = std::chrono::milliseconds(200);
     double strength = 1; //!< share of a processor core of this host
+    double fullStrength = 0.5; //!< hosts with this share or more do not wait
 };
 
 //! Read the coordinator's row and answer with rowRead() or readFailed().
@@ -89,6 +95,8 @@
     std::vector<TenureOutput> peerReachesStore(TimePoint now);
     //! The duty is given up, for example since this host stops.
     std::vector<TenureOutput> resign(TimePoint now);
+    //! This host stops: it gives the duty up and does not take it again.
+    std::vector<TenureOutput> retire(TimePoint now);
     std::vector<TenureOutput> superseded(TimePoint now);
 
     //! Adds a plan to the next write.
@@ -120,6 +128,7 @@
     std::string knownAddress;
     std::optional<RowVersion> rowVersion; //!< as read or written last
     TimePoint rowUnchangedSince {};
+    bool rowChanges = false; //!< the last read found a newer version than the one before
     TimePoint lastBeacon {};
     TimePoint lastRead {};
     bool reading = false;
@@ -129,6 +138,8 @@
     bool leading = false;
     bool resigning = false;
     bool resignationQueued = false;
+    bool retired = false;
+    std::uint64_t resignedTerm = 0; //!< term whose coordinator told that it resigns
     std::uint64_t lastWriteNumber = 0;
     std::optional<WriteRow> writeInProgress;
     TimePoint writeSent {}; //!< when the write in progress was sent first
--- a/libs/tenure/src/TenureMachine.cpp
+++ b/libs/tenure/src/TenureMachine.cpp
@@ -49,6 +49,8 @@
         this->lastWriteAttempt = now;
         return { *this->writeInProgress };
     }
+    if (this->retired)
+        return {};
     if (this->writeInProgress) {
         // A takeover is on its way; its answer or the next read decides.
         if (now - this->lastWriteAttempt >= this->terms.takeoverAfter)
@@ -63,7 +65,8 @@
         return { *this->writeInProgress };
     }
     bool silent = now - this->lastBeacon >= this->terms.beaconSilence;
-    if (silent && !this->reading && now - this->lastRead >= this->terms.readInterval) {
+    auto interval = this->rowChanges ? this->terms.readIntervalOfLiving : this->terms.readInterval;
+    if (silent && !this->reading && now - this->lastRead >= interval) {
         this->reading = true;
         this->lastRead = now;
         return { ReadRow {} };
@@ -93,15 +96,15 @@
 
 Duration TenureMachine::takeoverDelay()
 {
-    // Half of the spread orders hosts by strength, the other half separates equal ones.
-    auto spread = static_cast<double>(this->terms.takeoverSpread.count());
-    double weakness = 1 - std::clamp(this->terms.strength, 0.0, 1.0);
-    std::uniform_real_distribution<double> jitter(0, 0.5);
-    return Duration(static_cast<std::int64_t>(spread * (weakness * 0.5 + jitter(this->random))));
+    double weakness = 1 - std::clamp(this->terms.strength / this->terms.fullStrength, 0.0, 1.0);
+    std::uniform_real_distribution<double> jitter(0, static_cast<double>(this->terms.takeoverSpread.count()));
+    double wait = weakness * static_cast<double>(this->terms.weakestWait.count()) + jitter(this->random);
+    return Duration(static_cast<std::int64_t>(wait));
 }
 
 void TenureMachine::followRow(RowVersion version, const wire::Tenure& row, TimePoint now)
 {
+    this->rowChanges = this->rowVersion && *this->rowVersion != version;
     if (!this->rowVersion || *this->rowVersion != version) {
         this->rowVersion = version;
         this->rowUnchangedSince = now;
@@ -200,12 +203,17 @@
         return this->lose("a coordinator of a later term is active");
     this->currentTerm = term;
     if (resigned) {
+        if (this->resignedTerm == term)
+            return {};
+        this->resignedTerm = term;
         // Reads the row at once instead of waiting for silence.
         this->lastBeacon = {};
         this->lastRead = {};
+        this->rowChanges = false;
         return {};
     }
     this->lastBeacon = now;
+    this->rowChanges = false;
     this->takeoverAt.reset();
     return {};
 }
@@ -225,6 +233,12 @@
     return this->tick(now);
 }
 
+std::vector<TenureOutput> TenureMachine::retire(TimePoint now)
+{
+    this->retired = true;
+    return this->resign(now);
+}
+
 std::vector<TenureOutput> TenureMachine::superseded(TimePoint)
 {
     if (!this->leading)
@@ -235,6 +249,8 @@
 std::vector<TenureOutput> TenureMachine::lose(const std::string& reason)
 {
     this->leading = false;
+    this->resigning = false;
+    this->resignationQueued = false;
     this->writeInProgress.reset();
     this->queuedPlans.clear();
     this->rowVersion.reset();
--- a/programs/node/src/ConfigurationWatcher.cpp
+++ b/programs/node/src/ConfigurationWatcher.cpp
@@ -3,6 +3,8 @@
 #include "platform_adapter/Decoders.h"
 #include "platform_adapter/Names.h"
 
+#include <algorithm>
+
 namespace sequoia::node {
 
 namespace {
@@ -15,7 +17,9 @@
 // Reads on a hint, and while the coordinator is not heard.
 constexpr Duration readInterval = std::chrono::milliseconds(400);
 constexpr Duration readAloneInterval = std::chrono::milliseconds(1000);
-constexpr Duration retryInterval = std::chrono::milliseconds(200);
+// Doubles with each failure in a row: calls that the store refuses cost as much as others.
+constexpr Duration firstRetryInterval = std::chrono::milliseconds(200);
+constexpr Duration longestRetryInterval = std::chrono::milliseconds(1600);
 
 }
 
@@ -87,7 +91,8 @@
         this->events.record(timeline::Severity::Warn, "store_lost",
             { { "watch", "configuration" }, { "reason", error.message }, { "remedy", error.remedy } });
     }
-    this->reactor.scheduleAfter(retryInterval, [this] {
+    auto pause = std::min(firstRetryInterval * (1U << std::min(this->failures++, 5U)), longestRetryInterval);
+    this->reactor.scheduleAfter(pause, [this] {
         if (this->complete)
             this->follow();
         else if (!this->reading)
@@ -98,6 +103,7 @@
 void ConfigurationWatcher::take(const store::RowPage& page)
 {
     this->lastAnswer = this->reactor.now();
+    this->failures = 0;
     if (this->storeLost) {
         this->storeLost = false;
         this->events.record(timeline::Severity::Info, "store_regained", { { "watch", "configuration" } });
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -45,6 +45,7 @@
     bool complete = false; //!< the table was read, so that its changes can be followed
     TimePoint lastAnswer {};
     bool storeLost = false;
+    unsigned failures = 0; //!< in a row
 };
 
 }
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -20,6 +20,8 @@
 constexpr Duration toldValidity = std::chrono::milliseconds(900);
 // The coordinator reads the list every 0.8 s; an answer may take some time.
 constexpr std::int64_t oldestTold = 1500;
+// A handover costs callers some tenths of a second, so that a small difference is not worth it.
+constexpr double strongerBy = 2;
 constexpr Duration plansRetry = std::chrono::milliseconds(150);
 
 balance::SchedulerTerms schedulingOf(const settings::Settings& settings)
@@ -70,6 +72,7 @@
     , events(log)
     , incarnation(ownIncarnation)
     , address(settings.text("peers", "listen"))
+    , strength(settings.real("node", "processor_share"))
     , store(rows)
     , storeContact(std::move(contact))
     , scheduling(schedulingOf(settings))
@@ -111,9 +114,9 @@
     return this->heardCoordinator || this->coordinator;
 }
 
-void CoordinationTask::resign()
+void CoordinationTask::retire()
 {
-    this->execute(this->tenure.resign(this->reactor.now()));
+    this->execute(this->tenure.retire(this->reactor.now()));
 }
 
 void CoordinationTask::received(std::string_view bytes, const net::SocketAddress& sender)
@@ -167,9 +170,8 @@
     if (this->versionTold)
         this->versionTold(beacon.configuration_version());
     this->heardCoordinator = true;
+    this->lastHeard = this->reactor.now();
     this->placement->setHostCount(beacon.hosts());
-    if (beacon.resigned())
-        this->placement->coordinatorLost();
 }
 
 void CoordinationTask::takeDirectory(std::uint64_t term, const wire::Beacon& beacon)
@@ -206,6 +208,11 @@
     return !this->coordinator && this->reactor.now() - this->lastTold < toldValidity;
 }
 
+bool CoordinationTask::coordinatorAlive() const
+{
+    return !this->coordinator && this->reactor.now() - this->lastHeard < toldValidity;
+}
+
 void CoordinationTask::scheduleFlush()
 {
     if (this->flushScheduled)
@@ -280,6 +287,7 @@
     datagram.set_sender(this->incarnation);
     auto* message = datagram.mutable_report();
     this->placement->fillReport(*message);
+    message->set_strength(this->strength);
     message->set_directory_term(this->toldTerm);
     message->set_directory_version(this->toldVersion);
     message->set_store_contact_age_ms(toMillis(this->reactor.now() - this->storeContact()));
@@ -411,6 +419,16 @@
         this->execute(this->tenure.superseded(now));
         return;
     }
+    // A weak host keeps the duty only until a strong one is there.
+    if (!this->tenure.isResigning() && this->coordinator->strongestHost() >= strongerBy * this->strength) {
+        this->events.record(timeline::Severity::Info, "coordinator",
+            { { "change", "resigns" }, { "reason", "a stronger host is there" },
+                { "strength", std::to_string(this->strength) },
+                { "strongest", std::to_string(this->coordinator->strongestHost()) } });
+        this->execute(this->tenure.resign(now));
+        if (!this->coordinator)
+            return;
+    }
     if (now - this->lastBeacon >= beaconInterval) {
         this->lastBeacon = now;
         this->send(this->coordinator->beacons(
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -33,14 +33,16 @@
     edge::Placer& placer() { return *this->placement; }
     //! Whether jobs of keyed services can be placed.
     bool isReady() const;
-    //! Hands the duty over, if this host has it.
-    void resign();
+    //! Hands the duty over, if this host has it, and takes it no more.
+    void retire();
     //! What the coordinator tells: the list of backend servers, and the newest configuration version.
     using DirectoryTold = std::function<void(const fleet::ServerMap&, bool changed)>;
     using VersionTold = std::function<void(std::uint64_t)>;
     void onTold(DirectoryTold directory, VersionTold version);
     //! Whether this host relies on the coordinator for what the store says.
     bool hearsCoordinator() const;
+    //! Whether a beacon arrived lately, whatever the coordinator knows.
+    bool coordinatorAlive() const;
     void closeIdle() { this->orders.closeIdle(); }
 
     std::size_t waitingJobs() const { return this->placement->waitingJobs(); }
@@ -76,6 +78,7 @@
     timeline::EventLog& events;
     std::string incarnation;
     std::string address;
+    double strength;
     store::RowStore& store;
     StoreContact storeContact;
     balance::SchedulerTerms scheduling;
@@ -95,6 +98,7 @@
     std::uint64_t toldTerm = 0;
     std::uint64_t toldVersion = 0;
     TimePoint lastTold {};
+    TimePoint lastHeard {};
     std::uint64_t heardTerm = 0;
     bool heardCoordinator = false;
     bool flushScheduled = false;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -106,8 +106,9 @@
 void NodeService::chooseSources()
 {
     bool told = this->coordination->hearsCoordinator();
+    bool alive = this->coordination->coordinatorAlive();
     this->servers->setReading(!told);
-    this->configuration->setCoordinatorHeard(told);
+    this->configuration->setCoordinatorHeard(told || alive);
     this->reactor.scheduleAfter(sourceInterval, [this] { this->chooseSources(); });
 }
 
@@ -180,7 +181,7 @@
     this->stopStarted = this->reactor.now();
     this->stopFinished = std::move(finished);
     this->edge->startStopping();
-    this->coordination->resign();
+    this->coordination->retire();
     this->continueStop();
 }
 
