Answer every request before a stopped process ends; send changes of owners only within the tenure's validity

Cause 2: releases and first grants were sent as long as renewals were allowed, up to 30 s without the store. Ruled out: the stop's order of steps (the request was placed in time).

--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -62,6 +62,8 @@
 
     //! Refuses the requests that no backend server has yet.
     void refuseWaiting();
+    //! Answers all requests, since the process ends.
+    void giveUpRequests();
 
     const RequestMetrics& metrics() const { return this->requestMetrics; }
     const Counters& counters() const { return this->totals; }
@@ -70,6 +72,7 @@
 
 private:
     void accept(int descriptor);
+    void forEachConnection(const std::function<void(CallerConnection&)>& action);
 
     net::Reactor& reactor;
     HeaderNames names;
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -17,6 +17,11 @@
 
     bool isIdle() const { return !this->exchange && this->stream.input().empty() && !this->headBegun; }
     void closeGracefully();
+    void giveUp()
+    {
+        if (this->exchange)
+            this->exchange->giveUp();
+    }
     void refuseUnlessPlaced()
     {
         if (this->exchange)
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -74,23 +74,32 @@
     this->context.stopping = true;
 }
 
-void EdgeServer::refuseWaiting()
+// An action may end the connection that it is given.
+void EdgeServer::forEachConnection(const std::function<void(CallerConnection&)>& action)
 {
     for (auto entry = this->connections.begin(); entry != this->connections.end();) {
         auto next = std::next(entry);
-        entry->first->refuseUnlessPlaced();
+        action(*entry->first);
         entry = next;
     }
 }
 
+void EdgeServer::refuseWaiting()
+{
+    this->forEachConnection([](CallerConnection& connection) { connection.refuseUnlessPlaced(); });
+}
+
+void EdgeServer::giveUpRequests()
+{
+    this->forEachConnection([](CallerConnection& connection) { connection.giveUp(); });
+}
+
 std::size_t EdgeServer::closeIdleConnections()
 {
-    for (auto entry = this->connections.begin(); entry != this->connections.end();) {
-        auto next = std::next(entry);
-        if (entry->first->isIdle())
-            entry->first->closeGracefully();
-        entry = next;
-    }
+    this->forEachConnection([](CallerConnection& connection) {
+        if (connection.isIdle())
+            connection.closeGracefully();
+    });
     return this->connections.size();
 }
 
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -432,6 +432,12 @@
     this->answerOwn(this->mayHaveRun ? 502 : 503, std::chrono::milliseconds(50), "this host stops");
 }
 
+void Exchange::giveUp()
+{
+    if (!this->finished)
+        this->onTimeLimit();
+}
+
 void Exchange::sinkDrained()
 {
     if (this->connection && this->passing)
@@ -471,13 +477,12 @@
     // Answers of backend servers are the rule and are counted only.
     auto millis = [](Duration time) { return std::to_string(toMillis(time)); };
     auto now = this->context.reactor.now();
-    this->context.requestLog.record(
-        { { "request", this->requestId }, { "outcome", outcome }, { "status", std::to_string(status) },
-            { "reason", reason }, { "route", this->route ? this->route->name : "" },
-            { "config", std::to_string(this->configuration ? this->configuration->version : 0) },
-            { "service", this->service }, { "key", this->key ? std::to_string(*this->key) : "" },
-            { "server", this->server }, { "attempts", std::to_string(this->attempts) },
-            { "age_ms", millis(now - this->arrived) }, { "left_ms", millis(this->limits.deadline - now) } });
+    this->context.requestLog.record({ { "request", this->requestId }, { "outcome", outcome },
+        { "status", std::to_string(status) }, { "reason", reason }, { "route", this->route ? this->route->name : "" },
+        { "config", std::to_string(this->configuration ? this->configuration->version : 0) },
+        { "service", this->service }, { "key", this->key ? std::to_string(*this->key) : "" },
+        { "server", this->server }, { "attempts", std::to_string(this->attempts) },
+        { "age_ms", millis(now - this->arrived) }, { "left_ms", millis(this->limits.deadline - now) } });
 }
 
 }
--- a/libs/edge/src/Exchange.h
+++ b/libs/edge/src/Exchange.h
@@ -39,6 +39,8 @@
     void abandon();
     //! This host ends soon: refuses the request unless a backend server has it.
     void refuseUnlessPlaced();
+    //! This host ends now: answers the request as at its time limit.
+    void giveUp();
     bool isFinished() const { return this->finished; }
 
 private:
--- a/libs/edge/tests/RequestTest.cpp
+++ b/libs/edge/tests/RequestTest.cpp
@@ -219,3 +219,25 @@
     auto between = [](const balance::Job& job) { return job.deadline - job.target; };
     CHECK(between(jobs[1]) - between(jobs[0]) == std::chrono::milliseconds(0));
 }
+
+// Found by a bench day (hinagiku-gw-grown scale-1): a backend server never answered, and the end of the process closed
+// the connection without an answer.
+TEST_CASE("when the process ends, a request whose server never answers gets an answer")
+{
+    std::promise<void> arrived;
+    FakeServer server({ [&](Connection& connection) {
+        connection.readMessage();
+        arrived.set_value();
+        connection.readToEnd();
+    } });
+    EdgeFixture edge(EdgeFixture::at({ server.address() }));
+    auto caller = edge.connect();
+    caller.write(requestText("POST", "/unsafe/x", "r1", "", "hello"));
+    arrived.get_future().wait();
+    edge.run([](EdgeServer& running) {
+        running.startStopping();
+        running.refuseWaiting();
+        running.giveUpRequests();
+    });
+    CHECK(caller.readMessage().starts_with("HTTP/1.1 504 "));
+}
--- a/libs/keyspace/include/keyspace/GrantKeeper.h
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -28,6 +28,7 @@
     fleet::KeyRange keys;
     fleet::Fence fence = 0;
     Duration holdTime {}; //!< grants only
+    bool renewal = false; //!< changes nothing; may be sent while only the holds have to be kept
     std::string handover; //!< grants only; state of the keys as their last owner gave it
 };
 
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -314,6 +314,7 @@
     if (!this->isReady(range.owner) || state.unanswered >= unansweredToStop)
         return;
     auto order = this->makeOrder(index, OrderType::Grant, range.owner, range.fence);
+    order.renewal = true;
     this->setOutstanding(state, order, now);
     state.heldBeforeOrder = state.heldUntil;
     state.heldUntil = this->holdEnd(now);
--- a/libs/timeline/src/EventLog.cpp
+++ b/libs/timeline/src/EventLog.cpp
@@ -157,8 +157,7 @@
         root->addAppender(std::make_shared<BoundedAppender>());
     else {
         auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
-        root->addAppender(
-            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr()));
+        root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr()));
     }
     auto severity = valueNamed(severityNames, level).value_or(Severity::Info);
     root->setLevel(levelOf(severity));
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -457,7 +457,7 @@
     // The process may have been suspended since the order was decided, so the tenure is checked right here.
     auto now = this->reactor.now();
     auto term = this->coordinator->term();
-    if (!this->tenure.mayRenew(now)) {
+    if (!(order.renewal ? this->tenure.mayRenew(now) : this->tenure.mayChange(now))) {
         this->coordinator->orderAnswered(order, { keyspace::OrderResult::NotSent, {} });
         return;
     }
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -14,6 +14,7 @@
 constexpr Duration outOfRotation = std::chrono::milliseconds(2600);
 // The process ends this long before it would be killed.
 constexpr Duration endMargin = std::chrono::milliseconds(400);
+constexpr Duration answerMargin = std::chrono::milliseconds(600);
 constexpr Duration stopCheckInterval = std::chrono::milliseconds(100);
 
 }
@@ -198,6 +199,9 @@
     // Requests without a server by then could not be finished; they are told so while they can go elsewhere.
     if (elapsed >= this->grace / 2)
         this->edge->refuseWaiting();
+    // A backend server that never answers must not cost the caller its answer.
+    if (elapsed >= this->grace - answerMargin)
+        this->edge->giveUpRequests();
     if (drained || elapsed >= this->grace - endMargin) {
         this->events.record(timeline::Severity::Info, "stop_finished",
             { { "connections_left", std::to_string(this->edge->connectionCount()) },
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -2,8 +2,8 @@
 
 #include "ConfigurationWatcher.h"
 #include "CoordinationTask.h"
-#include "TextEndpoint.h"
 #include "ServerWatcher.h"
+#include "TextEndpoint.h"
 #include "edge/EdgeServer.h"
 #include "platform_adapter/StoreClient.h"
 #include "runtime/Program.h"
