--- a/libs/balance/include/balance/Job.h
+++ b/libs/balance/include/balance/Job.h
@@ -40,6 +40,7 @@
     std::uint32_t attempt = 0; //!< backend servers that the request reached before
     std::uint32_t maxAttempts = 1;
     std::vector<std::string> tried; //!< backend servers that failed it
+    std::string dataCentre; //!< of the host that sends it
     std::uint64_t fingerprint = 0; //!< equal for requests with the same content
 };
 
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -33,6 +33,8 @@
     double slowness(Duration normalTime, TimePoint now) const;
     //! Share of recent jobs that were rejected or failed.
     double failureShare(TimePoint now) const;
+    //! Whether the host used this server lately, so that it has a connection to it.
+    bool usedLately(std::uint64_t host, TimePoint now) const;
 
 private:
     void suspend(Duration time, TimePoint now);
@@ -48,6 +50,7 @@
     TimePoint coldUntil {};
     TimePoint suspendedUntil {};
     TimePoint lastSample {};
+    std::map<std::uint64_t, TimePoint> lastUse; //!< by host
     //! Last result of slowness(), which is asked for every server at each placement.
     mutable TimePoint slownessTime {};
     mutable double slownessValue = 1;
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -16,6 +16,10 @@
 // Jobs beyond its slots that a server gets, so that it has the next one at hand.
 constexpr unsigned extraOfKeyed = 1;
 constexpr unsigned extraOfUnkeyed = 0;
+// What a new connection and a way to another data centre are worth, relative to the time of a job: about a
+// millisecond and the bytes, which is less than the spread of equal servers' times.
+constexpr double newConnectionCost = 1.15;
+constexpr double otherDataCentreCost = 1.08;
 // Servers whose expected time is this many times the usual one get only jobs that they finish in time.
 constexpr double slowCost = 3;
 // Part of the usual time without which a job is not worth starting.
@@ -346,6 +350,11 @@
         double busy = static_cast<double>(load.inFlight()) / load.entry().slots;
         // Some servers slow down when they are nearly full.
         double cost = load.slowness(pool.normal(), now) * (1 + 0.2 * busy) / std::max(0.05, 1 - load.failureShare(now));
+        // Of servers that are about equal, one with an open connection, then one of the same data centre.
+        if (!load.usedLately(job.id.host, now))
+            cost *= newConnectionCost;
+        if (load.entry().dataCentre != job.dataCentre)
+            cost *= otherDataCentreCost;
         // A slot of a slow server that would make the job late is worth less than waiting for another one.
         double finish = normal * load.slowness(pool.normal(), now);
         if (cost > slowCost && now + Duration(static_cast<std::int64_t>(finish)) > job.target)
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -18,6 +18,8 @@
 constexpr Duration longestSuspension = std::chrono::milliseconds(1500);
 // Pause after a rejection: the queue of the server is full for about a service time.
 constexpr Duration rejectionPause = std::chrono::milliseconds(30);
+// Hosts keep an idle connection for about this time.
+constexpr Duration connectionLife = std::chrono::seconds(7);
 // Another server has the address, or the grant of the keys is not there yet; doubles with each one in a row.
 constexpr Duration wrongOwnerPause = std::chrono::milliseconds(25);
 // Losses in a row that suspend a server; a single one may concern the request only.
@@ -54,6 +56,8 @@
 {
     if (this->jobs.erase(job) == 0)
         return;
+    if (result == JobResult::Answered || result == JobResult::ServerError)
+        this->lastUse[job.host] = now;
     auto average = [](double& value, double sample) { value += newestWeight * (sample - value); };
     this->relativeTime = 1 + (this->relativeTime - 1) * this->memory(now);
     this->failures *= this->memory(now);
@@ -130,6 +134,12 @@
     return this->failures * this->memory(now);
 }
 
+bool ServerLoad::usedLately(std::uint64_t host, TimePoint now) const
+{
+    auto found = this->lastUse.find(host);
+    return found != this->lastUse.end() && now - found->second < connectionLife;
+}
+
 double ServerLoad::memory(TimePoint now) const
 {
     return std::exp(-static_cast<double>((now - this->lastSample).count()) / forgetMicros);
--- a/libs/balance/tests/SchedulerTest.cpp
+++ b/libs/balance/tests/SchedulerTest.cpp
@@ -328,3 +328,23 @@
     REQUIRE(refusalIn(decisions));
     CHECK(bench.scheduler.waitingJobs() == 0);
 }
+
+// Guards against a new connection for nearly every request when many hosts use many servers.
+TEST_CASE("of equal servers, a host gets one that it used lately, then one of its data centre")
+{
+    Bench bench(4);
+    bench.listed["s2"].dataCentre = "here";
+    bench.scheduler.setServers(bench.listed, bench.now);
+    auto first = bench.job();
+    first.dataCentre = "here";
+    CHECK(serverOf(bench.submit(first)) == "s2");
+    bench.end(first.id);
+    auto elsewhere = bench.job();
+    elsewhere.dataCentre = "there";
+    CHECK(serverOf(bench.submit(elsewhere)) == "s2");
+    bench.end(elsewhere.id);
+    auto otherHost = bench.job();
+    otherHost.id.host = 2;
+    otherHost.dataCentre = "there";
+    CHECK(serverOf(bench.submit(otherHost)) != "s2");
+}
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -69,6 +69,7 @@
         TimePoint directorySent {};
         std::map<std::string, TimePoint> planSent; //!< by service
         double strength = 0;
+        std::string dataCentre;
         TimePoint firstReport {};
     };
     struct KeyedService {
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -139,6 +139,7 @@
         return;
     }
     auto job = jobOf(message, host.number, now);
+    job.dataCentre = host.dataCentre;
     if (job.key) {
         auto keyedService = this->keyed.find(job.service);
         if (keyedService != this->keyed.end())
@@ -187,6 +188,7 @@
     for (int i = 0; i < report.plan_services_size() && i < report.plan_sequences_size(); ++i)
         host.planSequences[report.plan_services(i)] = report.plan_sequences(i);
     host.strength = report.strength();
+    host.dataCentre = report.data_centre();
     host.directoryVersion = report.directory_term() == this->currentTerm ? report.directory_version() : 0;
     if (report.store_contact_age_ms() < reachesStoreMillis)
         this->peerReachesStore = true;
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -24,10 +24,8 @@
 constexpr std::size_t unsentLimit = std::size_t { 256 } * 1024;
 // Responses up to this size are passed on only when they are complete.
 constexpr std::size_t responseBuffer = std::size_t { 256 } * 1024;
-// A connection that was idle for longer may have been dropped by the server, and what is sent on it is lost. A request
-// that must not run twice could then not be sent again.
-constexpr Duration idleForRepeatable = std::chrono::seconds(8);
-constexpr Duration idleForOthers = std::chrono::seconds(4);
+// Servers close connections that are idle for 10 s; a margin below, also for a request that could not be sent again.
+constexpr Duration longestIdle = std::chrono::seconds(8);
 
 template <typename T> std::optional<T> parseNumber(const std::string& text)
 {
@@ -210,9 +208,8 @@
         this->retryOrAnswer(503, errorOf(address).message);
         return;
     }
-    bool repeatable = this->route->kind == fleet::RequestKind::Idempotent;
-    this->connection = &this->context.backends.acquire(
-        target.server + "@" + target.address, valueOf(address), repeatable ? idleForRepeatable : idleForOthers);
+    this->connection
+        = &this->context.backends.acquire(target.server + "@" + target.address, valueOf(address), longestIdle);
     this->bodySent = 0;
     this->bodyFinished = false;
     ++this->context.counters.attempts;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -73,6 +73,7 @@
     , incarnation(ownIncarnation)
     , address(settings.text("peers", "listen"))
     , strength(settings.real("node", "processor_share"))
+    , dataCentre(settings.text("host", "data_centre"))
     , store(rows)
     , storeContact(std::move(contact))
     , scheduling(schedulingOf(settings))
@@ -288,6 +289,7 @@
     auto* message = datagram.mutable_report();
     this->placement->fillReport(*message);
     message->set_strength(this->strength);
+    message->set_data_centre(this->dataCentre);
     message->set_directory_term(this->toldTerm);
     message->set_directory_version(this->toldVersion);
     message->set_store_contact_age_ms(toMillis(this->reactor.now() - this->storeContact()));
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -79,6 +79,7 @@
     std::string incarnation;
     std::string address;
     double strength;
+    std::string dataCentre;
     store::RowStore& store;
     StoreContact storeContact;
     balance::SchedulerTerms scheduling;
