Hand the coordinator's duty over without a gap; heirs take over by the store's clock

A first read of the row in a silence was compared with a version of long ago, so that the coordinator counted as living and the next read came 2 s later. A coordinator that the store refused ended its tenure before anybody could follow it. After a restart of all hosts the row had to stay unchanged for 1.3 s more.

Now the row holds an upper bound of the store's clock, so that one read tells its age. A coordinator that an heir tells of a store in reach orders nothing any more, says so in beacons, and goes on placing requests until its successor is heard. Heirs know the addresses of all hosts and tell them. Hosts submit waiting jobs again to a new coordinator and report what the earlier one placed.

Also: a coordinator that resigned went on changing owners for up to 1 s while its successor could already act (test: a coordinator that resigns changes no owners any more), and one in the smaller part of a partition renewed grants for 30 s (test: hears neither the store nor most of its hosts).

Ruled out: load of the coordinator (0.1 core at most), lost beacons.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -20,6 +20,14 @@
     wire::Datagram datagram;
 };
 
+//! What beacons say about the coordinator itself.
+struct BeaconState {
+    std::string self; //!< incarnation of the coordinator's host
+    bool resigned = false;
+    bool storeSilent = false; //!< heirs are to report whether they reach the store
+    std::int64_t storeContactAge = 0; //!< milliseconds
+};
+
 //! What the coordinator does during one tenure: it owns the grants of all keyed services, and places the jobs of all
 //! hosts, so that waiting, order and refusal are decided in one place with exact numbers. Pure.
 class Coordinator final : private balance::OwnerLookup {
@@ -39,8 +47,11 @@
     void tick();
     //! Answers since the last call, one datagram for each host.
     std::vector<Outgoing> takeAnswers();
-    //! `storeContactAge` is in milliseconds.
-    std::vector<Outgoing> beacons(bool resigned, std::int64_t storeContactAge);
+    std::vector<Outgoing> beacons(const BeaconState& state);
+    //! Hosts of the coordinator before this one; they get beacons for a moment although they have not reported yet.
+    void inheritHosts(const std::vector<std::string>& addresses);
+    //! Owners stay as they are: the duty is handed over, and only requests are placed.
+    void freezeOwners() { this->ownersFrozen = true; }
 
     //! Plans to be written, orders to be sent and events to be logged since the last call.
     std::vector<keyspace::KeyPlan> takeWrites();
@@ -71,6 +82,8 @@
         double strength = 0;
         std::string dataCentre;
         TimePoint firstReport {};
+        bool leaving = false;
+        TimePoint addressesSent {}; //!< the addresses of all hosts, to an heir
     };
     struct KeyedService {
         std::unique_ptr<keyspace::GrantKeeper> keeper;
@@ -89,6 +102,8 @@
     wire::Datagram& answerTo(const std::string& address);
     void fillPlans(Host& host, wire::Beacon& beacon);
     void fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists);
+    std::map<std::string, std::uint32_t> heirRanks(const std::string& self) const;
+    void fillHostAddresses(Host& host, wire::Beacon& beacon) const;
     void updateCapacities();
     void tickKeepers();
     void dropSilentHosts();
@@ -112,6 +127,9 @@
     std::uint64_t lastHost = 0;
     bool peerReachesStore = false;
     TimePoint lastLoadUpdate {};
+    bool ownersFrozen = false;
+    std::vector<std::string> inheritedHosts; //!< addresses
+    TimePoint inheritedUntil {};
 };
 
 }
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -31,8 +31,9 @@
     void setServers(const fleet::ServerMap& servers);
     //! Hosts that share the allowance of repeats when each decides alone.
     void setHostCount(std::uint32_t hosts);
-    //! Whether a coordinator is known and answers; changes how new jobs are placed.
-    void coordinatorHeard();
+    //! Whether a coordinator is known and answers; changes how new jobs are placed. Jobs that wait at a coordinator of
+    //! an earlier term are submitted again.
+    void coordinatorHeard(std::uint64_t term);
     void coordinatorLost();
     //! What a datagram of the coordinator says about jobs and loads.
     void receive(const wire::Datagram& datagram);
@@ -61,6 +62,7 @@
     void sendSubmit(Pending& entry);
     void submitLocally(std::uint64_t number);
     void apply(const std::vector<balance::Decision>& decisions);
+    void resubmitAll();
     void placed(std::uint64_t number, const std::string& server, const std::string& address, bool byCoordinator);
     std::string addressOf(const std::string& server) const;
     void refused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter);
@@ -74,8 +76,12 @@
     bool remote = false;
     TimePoint lastHeard {};
     std::map<std::uint64_t, Pending> pending;
-    //! Placed jobs, and whether the coordinator placed them.
-    std::map<std::uint64_t, bool> placedJobs;
+    struct PlacedJob {
+        std::string server;
+        std::uint64_t term = 0; //!< of the coordinator that placed it; 0 when this host did
+    };
+    std::map<std::uint64_t, PlacedJob> placedJobs;
+    std::uint64_t term = 0;
     wire::Datagram outgoing;
     bool hasOutgoing = false;
     TimePoint lastTaken {};
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -3,6 +3,8 @@
 #include "coordination/JobMessages.h"
 
 #include <algorithm>
+#include <limits>
+#include <set>
 
 namespace sequoia::coordination {
 
@@ -19,6 +21,12 @@
 constexpr Duration steadyReports = std::chrono::seconds(2);
 constexpr Duration directoryResend = std::chrono::milliseconds(350);
 constexpr unsigned wholeListsAtOnce = 8;
+// Hosts that take over first when the coordinator is lost; three survive the loss of one data centre.
+constexpr std::size_t heirCount = 3;
+// An heir has the addresses of all hosts, which are some kilobytes for a hundred of them, about as old as this.
+constexpr Duration addressesInterval = std::chrono::seconds(1);
+// Hosts report to the coordinator that they know of, and so hear of a new one after a beacon.
+constexpr Duration inheritedBeacons = std::chrono::seconds(2);
 // A host that reached the store within this time reaches it.
 constexpr std::int64_t reachesStoreMillis = 1000;
 
@@ -189,6 +197,7 @@
         host.planSequences[report.plan_services(i)] = report.plan_sequences(i);
     host.strength = report.strength();
     host.dataCentre = report.data_centre();
+    host.leaving = report.leaving();
     host.directoryVersion = report.directory_term() == this->currentTerm ? report.directory_version() : 0;
     if (report.store_contact_age_ms() < reachesStoreMillis)
         this->peerReachesStore = true;
@@ -210,7 +219,8 @@
     if (!this->started)
         return;
     this->dropSilentHosts();
-    this->tickKeepers();
+    if (!this->ownersFrozen)
+        this->tickKeepers();
     this->collect(this->scheduler.tick(this->clock.now()));
 }
 
@@ -275,18 +285,72 @@
     }
 }
 
-std::vector<Outgoing> Coordinator::beacons(bool resigned, std::int64_t storeContactAge)
+void Coordinator::inheritHosts(const std::vector<std::string>& addresses)
+{
+    this->inheritedHosts = addresses;
+    this->inheritedUntil = this->clock.now() + inheritedBeacons;
+}
+
+// The strongest hosts that stay come first; among equal ones the order is that of their incarnations, which is random.
+std::map<std::string, std::uint32_t> Coordinator::heirRanks(const std::string& self) const
+{
+    std::vector<std::pair<double, std::string>> order;
+    for (const auto& [incarnation, host] : this->hosts) {
+        if (incarnation != self && !host.leaving && this->clock.now() - host.firstReport >= steadyReports)
+            order.emplace_back(-host.strength, incarnation);
+    }
+    std::sort(order.begin(), order.end());
+    std::map<std::string, std::uint32_t> ranks;
+    for (std::size_t i = 0; i < std::min(heirCount, order.size()); ++i)
+        ranks[order[i].second] = static_cast<std::uint32_t>(i + 1);
+    return ranks;
+}
+
+void Coordinator::fillHostAddresses(Host& host, wire::Beacon& beacon) const
+{
+    auto now = this->clock.now();
+    if (now - host.addressesSent < addressesInterval)
+        return;
+    host.addressesSent = now;
+    for (const auto& [incarnation, other] : this->hosts)
+        beacon.add_host_addresses(other.address);
+}
+
+std::vector<Outgoing> Coordinator::beacons(const BeaconState& state)
 {
     std::vector<Outgoing> result;
     unsigned wholeLists = 0;
+    auto ranks = this->heirRanks(state.self);
+    if (this->started && this->clock.now() < this->inheritedUntil) {
+        std::set<std::string> reporting;
+        for (const auto& [incarnation, host] : this->hosts)
+            reporting.insert(host.address);
+        for (const auto& address : this->inheritedHosts) {
+            if (reporting.contains(address))
+                continue;
+            Outgoing outgoing { address, {} };
+            // Nothing is told yet, so that the host goes on relying on what it has.
+            auto* beacon = outgoing.datagram.mutable_beacon();
+            beacon->set_store_contact_age_ms(std::numeric_limits<std::int64_t>::max());
+            beacon->set_hosts(static_cast<std::uint32_t>(this->inheritedHosts.size()));
+            beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
+            result.push_back(std::move(outgoing));
+        }
+    }
     for (auto& [incarnation, host] : this->hosts) {
         Outgoing outgoing { host.address, {} };
         auto* beacon = outgoing.datagram.mutable_beacon();
-        beacon->set_store_contact_age_ms(storeContactAge);
+        beacon->set_store_contact_age_ms(state.storeContactAge);
+        beacon->set_store_silent(state.storeSilent);
+        auto rank = ranks.find(incarnation);
+        if (rank != ranks.end()) {
+            beacon->set_heir_rank(rank->second);
+            this->fillHostAddresses(host, *beacon);
+        }
         this->fillDirectory(host, *beacon, wholeLists);
         beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
         beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
-        beacon->set_resigned(resigned);
+        beacon->set_resigned(state.resigned);
         this->fillPlans(host, *beacon);
         result.push_back(std::move(outgoing));
     }
@@ -315,7 +379,7 @@
 {
     double strongest = 0;
     for (const auto& [incarnation, host] : this->hosts) {
-        if (this->clock.now() - host.firstReport >= steadyReports)
+        if (!host.leaving && this->clock.now() - host.firstReport >= steadyReports)
             strongest = std::max(strongest, host.strength);
     }
     return strongest;
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -87,11 +87,11 @@
     auto found = this->placedJobs.find(job);
     if (found == this->placedJobs.end())
         return;
-    bool byCoordinator = found->second;
+    auto placedBy = found->second.term;
     this->placedJobs.erase(found);
-    if (byCoordinator)
+    if (placedBy == this->term && placedBy != 0)
         this->queueEnd(job, result, elapsed);
-    else
+    else if (placedBy == 0)
         this->apply(this->scheduler.ended({ 0, job }, result, elapsed, this->clock.now()));
 }
 
@@ -117,10 +117,29 @@
     this->scheduler.setRepeatShare(1.0 / std::max(1U, hosts));
 }
 
-void PlacementClient::coordinatorHeard()
+void PlacementClient::coordinatorHeard(std::uint64_t heardTerm)
 {
     this->lastHeard = this->clock.now();
     this->remote = true;
+    if (heardTerm == this->term)
+        return;
+    this->term = heardTerm;
+    this->recentEnds.clear();
+    this->resubmitAll();
+}
+
+// A new coordinator knows nothing of the jobs that wait at the one before it.
+void PlacementClient::resubmitAll()
+{
+    this->outgoing.Clear();
+    for (auto& [number, entry] : this->pending) {
+        if (!entry.remote)
+            continue;
+        entry.acknowledged = false;
+        entry.resends = 0;
+        entry.firstSent = this->clock.now();
+        this->sendSubmit(entry);
+    }
 }
 
 void PlacementClient::coordinatorLost()
@@ -170,7 +189,7 @@
     }
     auto* observer = found->second.observer;
     this->pending.erase(found);
-    this->placedJobs[number] = byCoordinator;
+    this->placedJobs[number] = { server, byCoordinator ? this->term : 0 };
     observer->onPlaced(number, { server, address });
 }
 
@@ -248,12 +267,16 @@
 
 void PlacementClient::fillReport(wire::Report& report) const
 {
-    for (const auto& [id, load] : this->scheduler.servers()) {
-        if (load.inFlight() == 0)
-            continue;
+    // What the coordinator of this term has not placed itself.
+    std::map<std::string, std::uint32_t> unknown;
+    for (const auto& [number, job] : this->placedJobs) {
+        if (job.term != this->term || job.term == 0)
+            ++unknown[job.server];
+    }
+    for (const auto& [server, count] : unknown) {
         auto* entry = report.add_loads();
-        entry->set_server(id);
-        entry->set_in_flight(load.inFlight());
+        entry->set_server(server);
+        entry->set_in_flight(count);
     }
     for (const auto& [service, plan] : this->planCopy.plans()) {
         report.add_plan_services(service);
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -44,7 +44,7 @@
         this->coordinator.setServers(servers(serverCount));
         this->coordinator.start({});
         this->host.setServers(servers(serverCount));
-        this->host.coordinatorHeard();
+        this->host.coordinatorHeard(1);
     }
 
     std::uint64_t submit()
@@ -156,7 +156,7 @@
     pair.toCoordinator(true);
     for (int i = 0; i < 6; ++i) {
         pair.clock.advance(std::chrono::milliseconds(50));
-        pair.host.coordinatorHeard();
+        pair.host.coordinatorHeard(1);
         pair.host.tick();
     }
     CHECK(pair.caller.placed.contains(job));
@@ -183,6 +183,69 @@
     CHECK(pair.caller.placed.size() == 2);
 }
 
+// Guards against callers that wait until their deadline, since their job waits at a coordinator that handed over.
+TEST_CASE("a job that waits at a coordinator is submitted to the next one")
+{
+    Pair pair(1);
+    pair.submit();
+    pair.submit();
+    auto waiting = pair.submit();
+    pair.toCoordinator();
+    pair.toHost();
+    CHECK(pair.caller.placed.size() == 2);
+    Coordinator next(pair.clock, 2, {}, {});
+    next.setServers(servers(1));
+    next.start({});
+    pair.host.coordinatorHeard(2);
+    wire::Datagram datagram;
+    REQUIRE(pair.host.takeMessages(datagram));
+    REQUIRE(datagram.submits_size() == 1);
+    CHECK(datagram.submits(0).job() == waiting);
+    // What the first coordinator placed takes the slots, as the host reports it.
+    pair.host.fillReport(*datagram.mutable_report());
+    datagram.set_sender("host");
+    next.receive(datagram, hostAddress);
+    CHECK(next.waitingJobs() == 1);
+}
+
+// Guards against hosts that read the store one by one to find a new coordinator.
+TEST_CASE("heirs know all hosts, and tell them when they take over")
+{
+    ManualClock clock;
+    Coordinator coordinator(clock, 1, {}, {});
+    coordinator.start({});
+    for (int round = 0; round < 20; ++round) {
+        for (int i = 0; i < 5; ++i) {
+            wire::Datagram report;
+            report.set_sender("h" + std::to_string(i));
+            report.mutable_report()->set_strength(i == 0 ? 4 : i);
+            report.mutable_report()->set_leaving(i == 4);
+            coordinator.receive(report, "10.1.0." + std::to_string(i) + ":1");
+        }
+        clock.advance(std::chrono::milliseconds(150));
+    }
+    std::vector<std::string> told;
+    std::map<std::string, std::uint32_t> ranks;
+    for (const auto& beacon : coordinator.beacons({ "h0", false, false, 0 })) {
+        ranks[beacon.address] = beacon.datagram.beacon().heir_rank();
+        if (beacon.datagram.beacon().heir_rank() == 1)
+            told.assign(beacon.datagram.beacon().host_addresses().begin(),
+                beacon.datagram.beacon().host_addresses().end());
+    }
+    // Strongest first; not the coordinator's own host, and not one that stops.
+    CHECK(ranks["10.1.0.3:1"] == 1);
+    CHECK(ranks["10.1.0.2:1"] == 2);
+    CHECK(ranks["10.1.0.0:1"] == 0);
+    CHECK(ranks["10.1.0.4:1"] == 0);
+    CHECK(told.size() == 5);
+    Coordinator next(clock, 2, {}, {});
+    next.start({});
+    next.inheritHosts(told);
+    CHECK(next.beacons({ "h3", false, false, 0 }).size() == 5);
+    clock.advance(std::chrono::seconds(3));
+    CHECK(next.beacons({ "h3", false, false, 0 }).empty());
+}
+
 TEST_CASE("hosts get the list of servers by its changes, and the whole list when they missed too much")
 {
     DirectoryLog log;
--- a/libs/store/include/store/RowStore.h
+++ b/libs/store/include/store/RowStore.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,7 @@
 struct RowPage {
     std::vector<Row> rows;
     RowVersion newest = 0; //!< newest version of the store at that moment
+    std::optional<std::int64_t> storeMillis; //!< the store's own steady clock when it answered
 };
 
 struct ExpectedRow {
@@ -48,6 +50,12 @@
     std::vector<WrittenRow> writes;
 };
 
+//! A transaction that was applied.
+struct Committed {
+    RowVersion version = 0; //!< of the written rows
+    std::optional<std::int64_t> storeMillis; //!< the store's own steady clock when it answered
+};
+
 //! Rows with versions and conditional writes, kept outside of this process. Callbacks run on the caller's task.
 //! Errors: Conflict (an expected version differs), Unavailable (not done), OutcomeUnknown (may have been done, or
 //! may be done later), NotFound (follow: the history is gone; read the table anew).
@@ -56,13 +64,12 @@
     virtual ~RowStore() = default;
 
     using PageCallback = std::function<void(Result<RowPage>)>;
-    using WriteCallback = std::function<void(Result<RowVersion>)>;
+    using WriteCallback = std::function<void(Result<Committed>)>;
 
     //! All rows of a table.
     virtual void read(const std::string& table, PageCallback callback) = 0;
     //! Rows of a table that changed after a version, as soon as there is one or the wait is over.
     virtual void follow(const std::string& table, RowVersion after, std::int64_t waitMillis, PageCallback callback) = 0;
-    //! Answers with the version of the written rows.
     virtual void write(const Transaction& transaction, WriteCallback callback) = 0;
 };
 
--- a/libs/tenure/include/tenure/TenureMachine.h
+++ b/libs/tenure/include/tenure/TenureMachine.h
@@ -20,15 +20,26 @@
     Duration renewInterval = std::chrono::milliseconds(500);
     //! The coordinator changes owners only this long after it sent its last successful renewal.
     Duration validity = std::chrono::milliseconds(1000);
-    //! A row that stays unchanged for this time belongs to a coordinator that is gone. Longer than the validity.
+    //! A row that was last written this long ago belongs to a coordinator that is gone. Longer than the validity.
     Duration takeoverAfter = std::chrono::milliseconds(1300);
-    //! Without a beacon for this time, a host reads the row.
-    Duration beaconSilence = std::chrono::milliseconds(800);
+    //! Without a beacon for this time, an heir reads the row: four beacons.
+    Duration beaconSilence = std::chrono::milliseconds(600);
+    //! Other hosts read the row this much later, since an heir that takes over tells them and saves their reads.
+    Duration heirLead = std::chrono::milliseconds(1000);
+    //! Heirs follow each other at this distance; several times an answer of the store.
+    Duration heirSpread = std::chrono::milliseconds(60);
     Duration readInterval = std::chrono::milliseconds(400);
     //! While the row keeps changing, its coordinator lives and only its beacons do not arrive here.
     Duration readIntervalOfLiving = std::chrono::milliseconds(2000);
     //! A coordinator without the store goes on renewing grants for this time at most.
     Duration longestWithoutStore = std::chrono::seconds(30);
+    //! A coordinator without an answer to its renewals for this time asks its heirs to try the store.
+    Duration storeDoubt = std::chrono::milliseconds(700);
+    //! It hands the duty over after this time, when a host reports that it reaches the store: two renewals.
+    Duration storeSilence = std::chrono::milliseconds(1200);
+    //! A coordinator that hands the duty over goes on placing requests for this time at most, until its successor is
+    //! heard. Shorter than a hold, which is no longer renewed.
+    Duration handoverLimit = std::chrono::milliseconds(2500);
     //! A coordinator that hears neither the store nor its hosts for this time is cut off and ends its tenure.
     Duration isolationLimit = std::chrono::milliseconds(1500);
     //! Weak hosts wait up to this time before a takeover, so that strong ones come first: the coordinator places the
@@ -59,12 +70,17 @@
     std::string reason;
 };
 
+//! This coordinator orders nothing any more, and places requests until its successor is heard.
+struct HandsOver {
+    std::string reason;
+};
+
 //! The plans of this write are stored.
 struct PlansWritten {
     std::map<std::string, std::string> plans;
 };
 
-using TenureOutput = std::variant<ReadRow, WriteRow, BecameCoordinator, LostDuty, PlansWritten>;
+using TenureOutput = std::variant<ReadRow, WriteRow, BecameCoordinator, LostDuty, HandsOver, PlansWritten>;
 
 enum class WriteOutcome {
     Written,
@@ -73,6 +89,15 @@
     Unknown, //!< May have been done, or may be done later.
 };
 
+//! What a beacon says about the duty.
+struct BeaconNews {
+    std::uint64_t term = 0;
+    std::string address; //!< of the coordinator
+    bool resigned = false; //!< The coordinator orders nothing any more.
+    unsigned heirRank = 0; //!< from 1; 0 when this host is no heir
+    bool storeSilent = false; //!< The coordinator asks whether this host reaches the store.
+};
+
 //! Which host coordinates: one row in the store names it, and it renews the row while it lives. Pure.
 //!
 //! Each write expects the version of the row that this host wrote last, so a host that has lost the duty can change
@@ -83,18 +108,22 @@
     TenureMachine(std::string incarnation, std::string address, TenureTerms terms, RandomEngine& random);
 
     std::vector<TenureOutput> tick(TimePoint now);
-    std::vector<TenureOutput> rowRead(RowVersion version, const std::string& value, TimePoint now);
+    //! `storeMillis` is the store's own steady clock at the answer, where it is told.
+    std::vector<TenureOutput> rowRead(
+        RowVersion version, const std::string& value, std::optional<std::int64_t> storeMillis, TimePoint now);
     void readFailed();
-    std::vector<TenureOutput> writeDone(std::uint64_t number, WriteOutcome outcome, RowVersion version, TimePoint now);
+    std::vector<TenureOutput> writeDone(std::uint64_t number, WriteOutcome outcome, RowVersion version,
+        std::optional<std::int64_t> storeMillis, TimePoint now);
 
-    //! The coordinator lives: a beacon of this term arrived.
-    std::vector<TenureOutput> beaconReceived(std::uint64_t term, bool resigned, TimePoint now);
+    std::vector<TenureOutput> beaconReceived(const BeaconNews& news, TimePoint now);
+    //! Hosts that report to this coordinator, itself included.
+    void setHosts(std::size_t count) { this->hosts = count; }
     //! Another host reports to this coordinator.
     void peerHeard(TimePoint now) { this->lastPeer = now; }
     //! Another host reports that it reaches the store while this coordinator does not.
     std::vector<TenureOutput> peerReachesStore(TimePoint now);
     //! The duty is given up, for example since this host stops.
-    std::vector<TenureOutput> resign(TimePoint now);
+    std::vector<TenureOutput> resign(const std::string& reason, TimePoint now);
     //! This host stops: it gives the duty up and does not take it again.
     std::vector<TenureOutput> retire(TimePoint now);
     std::vector<TenureOutput> superseded(TimePoint now);
@@ -107,14 +136,20 @@
     bool mayChange(TimePoint now) const;
     //! Whether grants may be renewed now.
     bool mayRenew(TimePoint now) const;
-    bool storeSilent(TimePoint now) const;
+    //! Renewals get no answer, so that heirs are asked whether they reach the store.
+    bool doubtsStore(TimePoint now) const;
     std::uint64_t term() const { return this->currentTerm; }
     bool isResigning() const { return this->resigning; }
     //! Address for datagrams of the coordinator that this host knows; empty when there is none.
     const std::string& coordinatorAddress() const { return this->knownAddress; }
 
 private:
+    std::vector<TenureOutput> tickLeading(TimePoint now);
+    std::vector<TenureOutput> tickFollowing(TimePoint now);
     std::vector<TenureOutput> lose(const std::string& reason);
+    std::vector<TenureOutput> startRead(TimePoint now);
+    void planTakeover(const wire::Tenure& row, std::optional<std::int64_t> storeMillis, TimePoint now);
+    std::int64_t latestStoreMillis(TimePoint now) const;
     WriteRow makeWrite(TimePoint now, bool renewal);
     void followRow(RowVersion version, const wire::Tenure& row, TimePoint now);
     Duration takeoverDelay();
@@ -129,17 +164,25 @@
     std::optional<RowVersion> rowVersion; //!< as read or written last
     TimePoint rowUnchangedSince {};
     bool rowChanges = false; //!< the last read found a newer version than the one before
-    TimePoint lastBeacon {};
-    TimePoint lastRead {};
+    //! From then on the coordinator counts as silent; the next beacon moves it.
+    TimePoint silentFrom {};
+    unsigned heirRank = 0;
+    TimePoint lastRead {}; //!< sending time of the only read in progress, or of the one before
     bool reading = false;
-    bool rowResigned = false;
+    //! A reading of the store's clock, and a time of this host's clock that is not later.
+    struct StoreTime {
+        std::int64_t millis = 0;
+        TimePoint notLater {};
+    };
+    std::optional<StoreTime> storeTime;
     std::optional<TimePoint> takeoverAt;
 
     bool leading = false;
     bool resigning = false;
     bool resignationQueued = false;
     bool retired = false;
-    std::uint64_t resignedTerm = 0; //!< term whose coordinator told that it resigns
+    std::uint64_t resignedTerm = 0; //!< the coordinator of this term told that it orders nothing any more
+    TimePoint resignedAt {};
     std::uint64_t lastWriteNumber = 0;
     std::optional<WriteRow> writeInProgress;
     TimePoint writeSent {}; //!< when the write in progress was sent first
@@ -148,6 +191,8 @@
     TimePoint lastWriteAttempt {};
     TimePoint lastSuccess {};
     std::optional<TimePoint> lastPeer; //!< a report of another host in this tenure
+    std::size_t hosts = 0;
+    std::size_t hostsAtSuccess = 0; //!< when the store answered last
     std::map<std::string, std::string> queuedPlans;
 };
 
--- a/libs/tenure/tests/TenureTest.cpp
+++ b/libs/tenure/tests/TenureTest.cpp
@@ -30,6 +30,7 @@
         std::unique_ptr<TenureMachine> machine;
         TimePoint frozenUntil {};
         TimePoint cutUntil {};
+        TimePoint contact {}; //!< last answer of the store
     };
 
     Hosts(std::uint64_t seed, Faults injected)
@@ -68,7 +69,36 @@
         return {};
     }
 
-    void resign(Host& host) { this->execute(host, host.machine->resign(this->now)); }
+    void resign(Host& host) { this->execute(host, host.machine->resign("test", this->now)); }
+    //! All processes end and start again; the row stays.
+    void restartAll(Duration down)
+    {
+        this->calls.clear();
+        this->now += down;
+        for (auto& host : this->all)
+            host->machine = std::make_unique<TenureMachine>(host->name + "'", host->name, TenureTerms {}, this->random);
+    }
+    Host* leader()
+    {
+        auto found = std::find_if(this->all.begin(), this->all.end(), [this](const auto& host) {
+            return host->machine->isCoordinator() && this->now >= host->frozenUntil;
+        });
+        return found == this->all.end() ? nullptr : found->get();
+    }
+    //! Longest time without a host that places requests.
+    Duration longestGap(Duration time)
+    {
+        Duration longest {};
+        auto end = this->now + time;
+        for (auto led = this->now; this->now < end;) {
+            CHECK(this->run(step) == "");
+            if (this->leader())
+                led = this->now;
+            longest = std::max(longest, this->now - led);
+        }
+        return longest;
+    }
+    TimePoint time() const { return this->now; }
     double ledShare() const { return static_cast<double>(this->led) / static_cast<double>(this->steps); }
     std::size_t plansStored() const { return this->plans.size(); }
 
@@ -83,6 +113,8 @@
         bool lost = false;
     };
 
+    //! The store's clock has another start and runs a little faster than the hosts' clocks.
+    std::int64_t storeMillis() const { return 5'000'000 + toMillis(this->now) * 101 / 100; }
     bool chance(double probability) { return std::uniform_real_distribution<double>(0, 1)(this->random) < probability; }
 
     void disturb()
@@ -104,8 +136,9 @@
                 this->call(
                     host,
                     [this, &host] {
-                        return [this, &host, version = this->version, value = this->value] {
-                            this->execute(host, host.machine->rowRead(version, value, this->now));
+                        host.contact = this->now;
+                        return [this, &host, version = this->version, value = this->value, millis = this->storeMillis()] {
+                            this->execute(host, host.machine->rowRead(version, value, millis, this->now));
                         };
                     },
                     [this, &host] { host.machine->readFailed(); });
@@ -129,12 +162,12 @@
                         this->plans.push_back(plan.second);
                     outcome = WriteOutcome::Written;
                 }
-                return [this, &host, number = write.number, outcome, at = this->version] {
-                    this->execute(host, host.machine->writeDone(number, outcome, at, this->now));
+                return [this, &host, number = write.number, outcome, at = this->version, millis = this->storeMillis()] {
+                    this->execute(host, host.machine->writeDone(number, outcome, at, millis, this->now));
                 };
             },
             [this, &host, number = write.number] {
-                this->execute(host, host.machine->writeDone(number, WriteOutcome::Unknown, 0, this->now));
+                this->execute(host, host.machine->writeDone(number, WriteOutcome::Unknown, 0, {}, this->now));
             });
     }
 
@@ -185,12 +218,19 @@
         for (auto& from : this->all) {
             if (!from->machine->isCoordinator() || this->now < from->frozenUntil)
                 continue;
+            unsigned rank = 0;
             for (auto& to : this->all) {
                 if (to == from || this->now < to->frozenUntil)
                     continue;
                 from->machine->peerHeard(this->now);
-                this->execute(
-                    *to, to->machine->beaconReceived(from->machine->term(), from->machine->isResigning(), this->now));
+                ++rank;
+                this->execute(*to,
+                    to->machine->beaconReceived({ from->machine->term(), from->name, from->machine->isResigning(),
+                                                    rank <= 2 ? rank : 0, from->machine->doubtsStore(this->now) },
+                        this->now));
+                // The heir's report of its last contact with the store.
+                if (this->now - to->contact < std::chrono::seconds(1) && from->machine->isCoordinator())
+                    this->execute(*from, from->machine->peerReachesStore(this->now));
             }
         }
     }
@@ -262,13 +302,87 @@
 {
     Hosts hosts(1, {});
     hosts.run(std::chrono::seconds(2));
-    auto leader = std::find_if(
-        hosts.all.begin(), hosts.all.end(), [](const auto& host) { return host->machine->isCoordinator(); });
-    REQUIRE(leader != hosts.all.end());
-    auto term = (*leader)->machine->term();
-    hosts.resign(**leader);
-    hosts.run(std::chrono::milliseconds(900));
+    auto* leader = hosts.leader();
+    REQUIRE(leader);
+    auto term = leader->machine->term();
+    hosts.resign(*leader);
+    CHECK(hosts.longestGap(std::chrono::milliseconds(900)) == Duration::zero());
     auto next = std::find_if(hosts.all.begin(), hosts.all.end(),
         [&](const auto& host) { return host->machine->isCoordinator() && host->machine->term() > term; });
     CHECK(next != hosts.all.end());
 }
+
+// Guards against a new coordinator and the one that resigned changing owners in the same second.
+TEST_CASE("a coordinator that resigns changes no owners any more")
+{
+    Hosts hosts(1, {});
+    hosts.run(std::chrono::seconds(2));
+    auto* leader = hosts.leader();
+    REQUIRE(leader);
+    hosts.resign(*leader);
+    CHECK(leader->machine->isCoordinator());
+    CHECK(!leader->machine->mayChange(hosts.time()));
+    CHECK(!leader->machine->mayRenew(hosts.time()));
+}
+
+// Guards against three seconds in which hosts place alone, when the store refuses only the coordinator's host.
+TEST_CASE("a coordinator that the store refuses hands over without a gap")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        Hosts hosts(seed, {});
+        hosts.run(std::chrono::seconds(3));
+        auto* leader = hosts.leader();
+        REQUIRE(leader);
+        leader->cutUntil = hosts.time() + std::chrono::seconds(20);
+        CHECK(hosts.longestGap(std::chrono::seconds(3)) == Duration::zero());
+        REQUIRE(hosts.leader());
+        CHECK(hosts.leader() != leader);
+    }
+}
+
+// Guards against seconds without a coordinator after its loss: an heir knows from the store's clock how old the row is.
+TEST_CASE("a coordinator that is lost is replaced soon")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        Hosts hosts(seed, {});
+        hosts.run(std::chrono::seconds(3));
+        auto* leader = hosts.leader();
+        REQUIRE(leader);
+        leader->frozenUntil = hosts.time() + std::chrono::minutes(1);
+        CHECK(hosts.longestGap(std::chrono::seconds(4)) <= std::chrono::milliseconds(1600));
+    }
+}
+
+// Guards against a wait for the silence of a coordinator that was lost with all hosts.
+TEST_CASE("after a restart of all hosts the duty is taken at once")
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        Hosts hosts(seed, {});
+        hosts.run(std::chrono::seconds(3));
+        hosts.restartAll(std::chrono::milliseconds(1400));
+        CHECK(hosts.longestGap(std::chrono::seconds(2)) <= std::chrono::milliseconds(300));
+    }
+}
+
+// Guards against two owners: a coordinator in the smaller part of a partition must not go on renewing grants.
+TEST_CASE("a coordinator that hears neither the store nor most of its hosts ends its tenure")
+{
+    Hosts hosts(1, {});
+    hosts.run(std::chrono::seconds(2));
+    auto* leader = hosts.leader();
+    REQUIRE(leader);
+    leader->machine->setHosts(4);
+    hosts.run(std::chrono::seconds(1));
+    leader->cutUntil = hosts.time() + std::chrono::seconds(20);
+    leader->machine->setHosts(1);
+    auto now = hosts.time();
+    std::vector<TenureOutput> outputs;
+    for (auto end = now + std::chrono::seconds(2); now < end && leader->machine->isCoordinator(); now += step) {
+        leader->machine->peerHeard(now);
+        outputs = leader->machine->tick(now);
+    }
+    CHECK(!leader->machine->isCoordinator());
+}
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -117,6 +117,7 @@
 
 void CoordinationTask::retire()
 {
+    this->retiring = true;
     this->execute(this->tenure.retire(this->reactor.now()));
 }
 
@@ -148,16 +149,20 @@
         return;
     this->heardTerm = datagram.term();
     if (datagram.has_beacon())
-        this->handleBeacon(datagram);
-    this->placement->receive(datagram);
+        this->handleBeacon(datagram, sender);
     if (this->heardCoordinator)
-        this->placement->coordinatorHeard();
+        this->placement->coordinatorHeard(datagram.term());
+    this->placement->receive(datagram);
 }
 
-void CoordinationTask::handleBeacon(const wire::Datagram& datagram)
+void CoordinationTask::handleBeacon(const wire::Datagram& datagram, const std::string& sender)
 {
     const auto& beacon = datagram.beacon();
-    this->execute(this->tenure.beaconReceived(datagram.term(), beacon.resigned(), this->reactor.now()));
+    this->execute(this->tenure.beaconReceived(
+        { datagram.term(), sender, beacon.resigned(), beacon.heir_rank(), beacon.store_silent() },
+        this->reactor.now()));
+    if (beacon.host_addresses_size() > 0)
+        this->heardHosts.assign(beacon.host_addresses().begin(), beacon.host_addresses().end());
     for (const auto& message : beacon.plans()) {
         auto plan = keyspace::KeyPlan::fromWire(message);
         if (succeeded(plan))
@@ -281,6 +286,11 @@
     this->scheduleTick();
 }
 
+Duration CoordinationTask::storeContactAge() const
+{
+    return this->reactor.now() - std::max(this->storeContact(), this->lastRowAnswer);
+}
+
 void CoordinationTask::report()
 {
     wire::Datagram datagram;
@@ -292,7 +302,8 @@
     message->set_data_centre(this->dataCentre);
     message->set_directory_term(this->toldTerm);
     message->set_directory_version(this->toldVersion);
-    message->set_store_contact_age_ms(toMillis(this->reactor.now() - this->storeContact()));
+    message->set_leaving(this->retiring);
+    message->set_store_contact_age_ms(toMillis(this->storeContactAge()));
     if (this->coordinator) {
         // This host's own contact says nothing about others.
         message->set_store_contact_age_ms(std::numeric_limits<std::int64_t>::max());
@@ -318,6 +329,8 @@
             this->becomeCoordinator(became->term);
         else if (const auto* lost = std::get_if<tenure::LostDuty>(&output))
             this->loseDuty(lost->reason);
+        else if (const auto* handsOver = std::get_if<tenure::HandsOver>(&output))
+            this->handOver(handsOver->reason);
         else if (const auto* written = std::get_if<tenure::PlansWritten>(&output))
             this->plansWritten(*written);
     }
@@ -335,7 +348,9 @@
             if (candidate.name.key == tenureKey)
                 row = candidate;
         }
-        this->execute(this->tenure.rowRead(row.version, row.value, this->reactor.now()));
+        this->lastRowAnswer = this->reactor.now();
+        this->execute(
+            this->tenure.rowRead(row.version, row.value, valueOf(page).storeMillis, this->reactor.now()));
     });
 }
 
@@ -346,10 +361,13 @@
     transaction.writes.push_back({ { tenureTable, tenureKey }, write.value });
     for (const auto& [service, plan] : write.plans)
         transaction.writes.push_back({ { planTable, service }, plan });
-    this->store.write(transaction, [this, number = write.number](Result<store::RowVersion> result) {
+    this->store.write(transaction, [this, number = write.number](Result<store::Committed> result) {
         auto now = this->reactor.now();
         if (succeeded(result)) {
-            this->execute(this->tenure.writeDone(number, tenure::WriteOutcome::Written, valueOf(result), now));
+            const auto& committed = valueOf(result);
+            this->lastRowAnswer = now;
+            this->execute(this->tenure.writeDone(
+                number, tenure::WriteOutcome::Written, committed.version, committed.storeMillis, now));
             return;
         }
         auto outcome = tenure::WriteOutcome::Failed;
@@ -359,7 +377,7 @@
             outcome = tenure::WriteOutcome::Unknown;
         this->events.record(timeline::Severity::Info, "tenure_write_failed",
             { { "number", std::to_string(number) }, { "reason", errorOf(result).message } });
-        this->execute(this->tenure.writeDone(number, outcome, 0, now));
+        this->execute(this->tenure.writeDone(number, outcome, 0, std::nullopt, now));
     });
 }
 
@@ -372,9 +390,29 @@
         = std::make_unique<coordination::Coordinator>(this->reactor.time(), term, this->scheduling, this->grantTerms);
     this->coordinator->setConfiguration(this->configuration);
     this->coordinator->setServers(this->servers);
+    this->coordinator->inheritHosts(this->heardHosts);
     this->loadPlans(term);
 }
 
+void CoordinationTask::handOver(const std::string& reason)
+{
+    this->events.record(timeline::Severity::Info, "coordinator",
+        { { "term", std::to_string(this->tenure.term()) }, { "change", "hands-over" }, { "reason", reason } });
+    if (!this->coordinator)
+        return;
+    this->coordinator->freezeOwners();
+    this->sendBeacons();
+}
+
+void CoordinationTask::sendBeacons()
+{
+    auto now = this->reactor.now();
+    this->lastBeacon = now;
+    this->send(this->coordinator->beacons(
+        { this->incarnation, this->tenure.isResigning(), this->tenure.doubtsStore(now),
+            toMillis(now - this->storeContact()) }));
+}
+
 void CoordinationTask::loadPlans(std::uint64_t term)
 {
     this->store.read(planTable, [this, term](Result<store::RowPage> page) {
@@ -414,6 +452,7 @@
         return;
     auto now = this->reactor.now();
     this->coordinator->tick();
+    this->tenure.setHosts(this->coordinator->hostCount());
     this->send(this->coordinator->takeAnswers());
     if (!this->coordinator)
         return;
@@ -427,15 +466,14 @@
             { { "change", "resigns" }, { "reason", "a stronger host is there" },
                 { "strength", std::to_string(this->strength) },
                 { "strongest", std::to_string(this->coordinator->strongestHost()) } });
-        this->execute(this->tenure.resign(now));
+        this->execute(this->tenure.resign("a stronger host is there", now));
         if (!this->coordinator)
             return;
     }
-    if (now - this->lastBeacon >= beaconInterval) {
-        this->lastBeacon = now;
-        this->send(this->coordinator->beacons(
-            this->tenure.isResigning(), toMillis(this->reactor.now() - this->storeContact())));
-    }
+    if (now - this->lastBeacon >= beaconInterval)
+        this->sendBeacons();
+    if (!this->coordinator)
+        return;
     bool wrote = false;
     for (const auto& plan : this->coordinator->takeWrites()) {
         this->tenure.queuePlan(plan.service, plan.serialize());
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -56,8 +56,9 @@
 
     void received(std::string_view bytes, const net::SocketAddress& sender);
     void handle(const wire::Datagram& datagram, const std::string& sender);
-    void handleBeacon(const wire::Datagram& datagram);
+    void handleBeacon(const wire::Datagram& datagram, const std::string& sender);
     void takeDirectory(std::uint64_t term, const wire::Beacon& beacon);
+    Duration storeContactAge() const;
     void scheduleFlush();
     void flush();
     void send(const std::vector<coordination::Outgoing>& messages);
@@ -70,6 +71,8 @@
     void becomeCoordinator(std::uint64_t term);
     void loadPlans(std::uint64_t term);
     void loseDuty(const std::string& reason);
+    void handOver(const std::string& reason);
+    void sendBeacons();
     void runCoordinator();
     void sendOrder(const keyspace::Order& order);
     void plansWritten(const tenure::PlansWritten& written);
@@ -102,6 +105,9 @@
     TimePoint lastHeard {};
     std::uint64_t heardTerm = 0;
     bool heardCoordinator = false;
+    std::vector<std::string> heardHosts; //!< addresses, told to an heir
+    TimePoint lastRowAnswer {};
+    bool retiring = false;
     bool flushScheduled = false;
     TimePoint lastReport {};
     TimePoint lastBeacon {};
