--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -229,8 +229,8 @@
     for (const auto& beacon : coordinator.beacons({ "h0", false, false, 0 })) {
         ranks[beacon.address] = beacon.datagram.beacon().heir_rank();
         if (beacon.datagram.beacon().heir_rank() == 1)
-            told.assign(beacon.datagram.beacon().host_addresses().begin(),
-                beacon.datagram.beacon().host_addresses().end());
+            told.assign(
+                beacon.datagram.beacon().host_addresses().begin(), beacon.datagram.beacon().host_addresses().end());
     }
     // Strongest first; not the coordinator's own host, and not one that stops.
     CHECK(ranks["10.1.0.3:1"] == 1);
--- /dev/null
+++ b/libs/endpoint/include/endpoint/HttpEndpoint.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "http/MessageParser.h"
+#include "net/TcpListener.h"
+#include "net/TcpStream.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sequoia::endpoint {
+
+//! A request with its whole body.
+struct Request {
+    http::Head head;
+    std::string body;
+};
+
+//! A response with a body of known length.
+struct Response {
+    unsigned status = 200;
+    std::string body;
+    std::string contentType = "text/plain; charset=utf-8";
+    http::Headers headers {};
+};
+
+//! Answers one request, at once or later. What is sent after the peer has left goes nowhere.
+class Responder {
+public:
+    virtual ~Responder() = default;
+    virtual void answer(const Response& response) = 0;
+    //! Bytes as they are, for stand-ins that misbehave; ends the connection afterwards when `close` is set.
+    virtual void answerRaw(std::string_view bytes, bool close) = 0;
+    //! Ends the connection without an answer.
+    virtual void drop() = 0;
+    //! Called when the connection ends before the answer.
+    virtual void onGone(std::function<void()> callback) = 0;
+};
+
+//! A small HTTP/1.1 server: one request at a time on each connection, with whole bodies.
+class HttpEndpoint {
+public:
+    using Handler = std::function<void(const Request&, const std::shared_ptr<Responder>&)>;
+
+    static Result<std::unique_ptr<HttpEndpoint>> listen(
+        net::Reactor& reactor, const net::SocketAddress& address, Handler handler);
+    ~HttpEndpoint();
+
+    HttpEndpoint(const HttpEndpoint&) = delete;
+    HttpEndpoint& operator=(const HttpEndpoint&) = delete;
+
+    //! The bound address, with the port that the kernel chose for port 0.
+    net::SocketAddress address() const { return this->listener->address(); }
+    std::size_t connectionCount() const { return this->connections.size(); }
+    //! Ends all connections; new ones are still accepted.
+    void closeConnections();
+
+private:
+    class Connection;
+
+    HttpEndpoint(net::Reactor& reactor, Handler handler);
+    void accept(int descriptor);
+
+    net::Reactor& reactor;
+    Handler handler;
+    std::unique_ptr<net::TcpListener> listener;
+    std::map<Connection*, std::shared_ptr<Connection>> connections;
+};
+
+}
--- /dev/null
+++ b/libs/endpoint/src/HttpEndpoint.cpp
@@ -0,0 +1,140 @@
+#include "endpoint/HttpEndpoint.h"
+
+#include <utility>
+
+namespace sequoia::endpoint {
+
+namespace {
+
+constexpr std::uint32_t headerLimit = 16 * 1024;
+
+}
+
+class HttpEndpoint::Connection final : public net::StreamObserver,
+                                       public Responder,
+                                       public std::enable_shared_from_this<Connection> {
+public:
+    Connection(HttpEndpoint& endpoint, int descriptor)
+        : owner(&endpoint)
+        , reactor(endpoint.reactor)
+        , stream(endpoint.reactor, descriptor, *this)
+        , parser(newParser())
+    {
+    }
+
+    void answer(const Response& response) override
+    {
+        std::string text = "HTTP/1.1 " + std::to_string(response.status) + " "
+            + std::string(http::reasonOf(response.status)) + "\r\nContent-Type: " + response.contentType
+            + "\r\nContent-Length: " + std::to_string(response.body.size()) + "\r\n";
+        for (const auto& header : response.headers.all())
+            text.append(header.name).append(": ").append(header.value).append("\r\n");
+        this->answerRaw(text + "\r\n" + response.body, false);
+    }
+
+    void answerRaw(std::string_view bytes, bool close) override
+    {
+        if (!this->stream.isOpen())
+            return;
+        this->stream.write(bytes);
+        if (close) {
+            this->stream.finishWriting();
+            return;
+        }
+        this->waiting = false;
+        this->gone = nullptr;
+        // Not from within the handler, which may be called for a request of the same input.
+        this->reactor.defer([self = this->shared_from_this()] { self->onInput(); });
+    }
+
+    void drop() override { this->end(); }
+    void onGone(std::function<void()> callback) override { this->gone = std::move(callback); }
+
+    void onInput() override
+    {
+        while (!this->waiting && this->stream.isOpen() && !this->stream.input().empty()) {
+            auto parsed = this->parser->parse(this->stream.input(), this->request.body);
+            if (!succeeded(parsed)) {
+                this->end();
+                return;
+            }
+            this->stream.consume(valueOf(parsed));
+            if (!this->parser->complete())
+                return;
+            this->request.head = this->parser->head();
+            this->parser = newParser();
+            this->waiting = true;
+            auto complete = std::exchange(this->request, {});
+            this->owner->handler(complete, this->shared_from_this());
+        }
+    }
+
+    void onEnd(net::StreamEnd) override { this->end(); }
+
+    void end()
+    {
+        this->stream.close();
+        auto callback = std::exchange(this->gone, nullptr);
+        if (!this->owner)
+            return;
+        auto& connections = std::exchange(this->owner, nullptr)->connections;
+        auto found = connections.find(this);
+        if (found != connections.end()) {
+            this->reactor.defer([self = std::move(found->second)] {});
+            connections.erase(found);
+        }
+        if (callback)
+            callback();
+    }
+
+private:
+    static std::unique_ptr<http::MessageParser> newParser()
+    {
+        return std::make_unique<http::MessageParser>(http::MessageType::Request, headerLimit);
+    }
+
+    HttpEndpoint* owner; //!< null after the end
+    net::Reactor& reactor;
+    net::TcpStream stream;
+    std::unique_ptr<http::MessageParser> parser;
+    Request request;
+    bool waiting = false; //!< for the answer to a request
+    std::function<void()> gone;
+};
+
+HttpEndpoint::HttpEndpoint(net::Reactor& owner, Handler requests)
+    : reactor(owner)
+    , handler(std::move(requests))
+{
+}
+
+HttpEndpoint::~HttpEndpoint()
+{
+    this->closeConnections();
+}
+
+void HttpEndpoint::closeConnections()
+{
+    while (!this->connections.empty())
+        this->connections.begin()->second->end();
+}
+
+Result<std::unique_ptr<HttpEndpoint>> HttpEndpoint::listen(
+    net::Reactor& reactor, const net::SocketAddress& address, Handler handler)
+{
+    std::unique_ptr<HttpEndpoint> endpoint(new HttpEndpoint(reactor, std::move(handler)));
+    auto listener = net::TcpListener::listen(
+        reactor, address, [raw = endpoint.get()](int descriptor) { raw->accept(descriptor); });
+    if (!succeeded(listener))
+        return errorOf(listener);
+    endpoint->listener = std::move(valueOf(listener));
+    return endpoint;
+}
+
+void HttpEndpoint::accept(int descriptor)
+{
+    auto connection = std::make_shared<Connection>(*this, descriptor);
+    this->connections[connection.get()] = connection;
+}
+
+}
--- /dev/null
+++ b/libs/endpoint/tests/HttpEndpointTest.cpp
@@ -0,0 +1,77 @@
+#include "endpoint/HttpEndpoint.h"
+#include "client/CallClient.h"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace sequoia;
+using namespace sequoia::endpoint;
+
+namespace {
+
+//! An endpoint and a client on one loop.
+class Loopback {
+public:
+    explicit Loopback(HttpEndpoint::Handler handler)
+    {
+        auto any = valueOf(net::SocketAddress::parse("127.0.0.1:0"));
+        auto listening = HttpEndpoint::listen(this->reactor, any, std::move(handler));
+        REQUIRE(succeeded(listening));
+        this->endpoint = std::move(valueOf(listening));
+    }
+
+    Result<client::CallResponse> call(const client::Call& request)
+    {
+        std::optional<Result<client::CallResponse>> result;
+        this->calls.call(this->endpoint->address().toString(), request, std::chrono::seconds(5),
+            [&](Result<client::CallResponse> response) { result = std::move(response); });
+        while (!result)
+            g_main_context_iteration(g_main_context_default(), TRUE);
+        return *result;
+    }
+
+    SystemClock clock;
+    net::Reactor reactor { g_main_context_default(), this->clock };
+    std::unique_ptr<HttpEndpoint> endpoint;
+    client::CallClient calls { this->reactor, std::chrono::seconds(1) };
+};
+
+}
+
+TEST_CASE("a request is handed over with its whole body, and its answer comes with status and headers")
+{
+    Loopback loop([](const Request& request, const std::shared_ptr<Responder>& responder) {
+        Response response { 412, request.head.method + " " + request.head.target + " " + request.body, "text/plain",
+            {} };
+        response.headers.add("X-Test", "yes");
+        responder->answer(response);
+    });
+    for (int i = 0; i < 3; ++i) {
+        auto result = loop.call({ "POST", "/path?q=1", "text/plain", "body", {} });
+        REQUIRE(succeeded(result));
+        CHECK(valueOf(result).status == 412);
+        CHECK(valueOf(result).body == "POST /path?q=1 body");
+        REQUIRE(valueOf(result).headers.find("X-Test"));
+    }
+    CHECK(loop.endpoint->connectionCount() == 1);
+}
+
+// Guards against an answer that is given later going to the next request of the connection.
+TEST_CASE("an answer may come later")
+{
+    std::shared_ptr<Responder> kept;
+    Loopback loop([&](const Request&, const std::shared_ptr<Responder>& responder) { kept = responder; });
+    loop.reactor.scheduleAfter(std::chrono::milliseconds(20), [&] { kept->answer({ 200, "late", "text/plain", {} }); });
+    auto result = loop.call({ "GET", "/", "", "", {} });
+    REQUIRE(succeeded(result));
+    CHECK(valueOf(result).body == "late");
+}
+
+TEST_CASE("a connection that is dropped leaves the outcome unknown")
+{
+    Loopback loop([](const Request&, const std::shared_ptr<Responder>& responder) { responder->drop(); });
+    auto result = loop.call({ "GET", "/", "", "", {} });
+    REQUIRE(!succeeded(result));
+    CHECK(errorOf(result).kind == ErrorKind::OutcomeUnknown);
+    CHECK(loop.endpoint->connectionCount() == 0);
+}
--- a/libs/tenure/src/TenureMachine.cpp
+++ b/libs/tenure/src/TenureMachine.cpp
@@ -196,7 +196,8 @@
     auto abandonedAt = this->rowUnchangedSince + this->terms.takeoverAfter;
     // The store's clock shows how long ago the coordinator sent its last renewal.
     if (storeMillis && row.store_ms() > 0 && *storeMillis >= row.store_ms())
-        abandonedAt = std::min(abandonedAt, now + this->terms.takeoverAfter - fromMillis(*storeMillis - row.store_ms()));
+        abandonedAt
+            = std::min(abandonedAt, now + this->terms.takeoverAfter - fromMillis(*storeMillis - row.store_ms()));
     bool unowned = *this->rowVersion == 0 || row.resigned() || row.term() <= this->resignedTerm;
     if (unowned)
         abandonedAt = now;
@@ -276,8 +277,7 @@
         return {};
     }
     this->knownAddress = news.address;
-    this->silentFrom
-        = now + this->terms.beaconSilence + (news.heirRank > 0 ? Duration::zero() : this->terms.heirLead);
+    this->silentFrom = now + this->terms.beaconSilence + (news.heirRank > 0 ? Duration::zero() : this->terms.heirLead);
     this->rowChanges = false;
     this->rowVersion.reset();
     this->takeoverAt.reset();
--- a/libs/tenure/tests/TenureTest.cpp
+++ b/libs/tenure/tests/TenureTest.cpp
@@ -80,9 +80,8 @@
     }
     Host* leader()
     {
-        auto found = std::find_if(this->all.begin(), this->all.end(), [this](const auto& host) {
-            return host->machine->isCoordinator() && this->now >= host->frozenUntil;
-        });
+        auto found = std::find_if(this->all.begin(), this->all.end(),
+            [this](const auto& host) { return host->machine->isCoordinator() && this->now >= host->frozenUntil; });
         return found == this->all.end() ? nullptr : found->get();
     }
     //! Longest time without a host that places requests.
@@ -137,9 +136,10 @@
                     host,
                     [this, &host] {
                         host.contact = this->now;
-                        return [this, &host, version = this->version, value = this->value, millis = this->storeMillis()] {
-                            this->execute(host, host.machine->rowRead(version, value, millis, this->now));
-                        };
+                        return
+                            [this, &host, version = this->version, value = this->value, millis = this->storeMillis()] {
+                                this->execute(host, host.machine->rowRead(version, value, millis, this->now));
+                            };
                     },
                     [this, &host] { host.machine->readFailed(); });
             else if (const auto* write = std::get_if<WriteRow>(&output))
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -349,8 +349,7 @@
                 row = candidate;
         }
         this->lastRowAnswer = this->reactor.now();
-        this->execute(
-            this->tenure.rowRead(row.version, row.value, valueOf(page).storeMillis, this->reactor.now()));
+        this->execute(this->tenure.rowRead(row.version, row.value, valueOf(page).storeMillis, this->reactor.now()));
     });
 }
 
@@ -408,9 +407,8 @@
 {
     auto now = this->reactor.now();
     this->lastBeacon = now;
-    this->send(this->coordinator->beacons(
-        { this->incarnation, this->tenure.isResigning(), this->tenure.doubtsStore(now),
-            toMillis(now - this->storeContact()) }));
+    this->send(this->coordinator->beacons({ this->incarnation, this->tenure.isResigning(),
+        this->tenure.doubtsStore(now), toMillis(now - this->storeContact()) }));
 }
 
 void CoordinationTask::loadPlans(std::uint64_t term)
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -70,16 +70,20 @@
         return errorOf(readyAddress);
     if (!succeeded(edgeAddress))
         return errorOf(edgeAddress);
-    auto endpoint = TextEndpoint::listen(
-        this->reactor, valueOf(readyAddress), [this](const std::string& path) { return this->page(path); });
+    auto endpoint = endpoint::HttpEndpoint::listen(this->reactor, valueOf(readyAddress),
+        [this](const endpoint::Request& request, const std::shared_ptr<endpoint::Responder>& responder) {
+            responder->answer(this->readyPage(request.head.target));
+        });
     if (!succeeded(endpoint))
         return errorOf(endpoint);
     this->ready = std::move(valueOf(endpoint));
     auto metricsAddress = net::SocketAddress::parse(settings.text("metrics", "listen"));
     if (!succeeded(metricsAddress))
         return errorOf(metricsAddress);
-    auto metricsEndpoint = TextEndpoint::listen(
-        this->reactor, valueOf(metricsAddress), [this](const std::string& path) { return this->metricsPage(path); });
+    auto metricsEndpoint = endpoint::HttpEndpoint::listen(this->reactor, valueOf(metricsAddress),
+        [this](const endpoint::Request& request, const std::shared_ptr<endpoint::Responder>& responder) {
+            responder->answer(this->metricsPage(request.head.target));
+        });
     if (!succeeded(metricsEndpoint))
         return errorOf(metricsEndpoint);
     this->metrics = std::move(valueOf(metricsEndpoint));
@@ -119,14 +123,14 @@
         && this->coordination->isReady();
 }
 
-TextPage NodeService::page(const std::string& path) const
+endpoint::Response NodeService::readyPage(const std::string& path) const
 {
     if (path != platform_adapter::readyPath)
         return { 404, "no such page\n" };
-    return this->isReady() ? TextPage { 200, "ready\n" } : TextPage { 503, "not ready\n" };
+    return this->isReady() ? endpoint::Response { 200, "ready\n" } : endpoint::Response { 503, "not ready\n" };
 }
 
-TextPage NodeService::metricsPage(const std::string& path) const
+endpoint::Response NodeService::metricsPage(const std::string& path) const
 {
     if (path != "/metrics")
         return { 404, "no such page; the metrics are at /metrics\n" };
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -3,8 +3,8 @@
 #include "ConfigurationWatcher.h"
 #include "CoordinationTask.h"
 #include "ServerWatcher.h"
-#include "TextEndpoint.h"
 #include "edge/EdgeServer.h"
+#include "endpoint/HttpEndpoint.h"
 #include "platform_adapter/StoreClient.h"
 #include "runtime/Program.h"
 
@@ -26,8 +26,8 @@
 
     Result<Done> start(const runtime::ProgramContext& context);
     bool isReady() const;
-    TextPage page(const std::string& path) const;
-    TextPage metricsPage(const std::string& path) const;
+    endpoint::Response readyPage(const std::string& path) const;
+    endpoint::Response metricsPage(const std::string& path) const;
     void sweep();
     void chooseSources();
     void continueStop();
@@ -40,8 +40,8 @@
     std::unique_ptr<edge::EdgeServer> edge;
     std::unique_ptr<ConfigurationWatcher> configuration;
     std::unique_ptr<ServerWatcher> servers;
-    std::unique_ptr<TextEndpoint> ready;
-    std::unique_ptr<TextEndpoint> metrics;
+    std::unique_ptr<endpoint::HttpEndpoint> ready;
+    std::unique_ptr<endpoint::HttpEndpoint> metrics;
     fleet::ServerMap knownServers;
     bool stopping = false;
     TimePoint stopStarted {};
