--- a/libs/client/src/CallClient.cpp
+++ b/libs/client/src/CallClient.cpp
@@ -11,7 +11,9 @@
 
 std::string requestText(const std::string& address, const Call& call)
 {
-    std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + address + "\r\n";
+    std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
+    if (!call.headers.find("Host"))
+        text += "Host: " + address + "\r\n";
     if (!call.contentType.empty())
         text += "Content-Type: " + call.contentType + "\r\n";
     if (!call.body.empty() || call.method != "GET")
--- /dev/null
+++ b/tests/soak/src/Fleet.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "FaultProxy.h"
+#include "HostProcess.h"
+#include "Oracle.h"
+#include "client/CallClient.h"
+#include "platform_standin/ServerStandIn.h"
+#include "platform_standin/StoreStandIn.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sequoia::soak {
+
+//! What a run has besides the faults.
+struct FleetOptions {
+    std::string node; //!< program
+    std::string directory; //!< for settings and logs
+    std::uint64_t seed = 1;
+    unsigned hosts = 5;
+    unsigned subnet = 1; //!< hosts listen at 127.SUBNET.HOST.1, so that runs do not meet
+};
+
+//! A backend server behind its link.
+struct Server {
+    std::unique_ptr<platform_standin::ServerStandIn> standIn;
+    std::unique_ptr<FaultProxy> link;
+    fleet::ServerState state = fleet::ServerState::Ready;
+    bool reachesStore = true;
+    TimePoint lastEntry {};
+    bool listed = false;
+};
+
+//! A host and its link to the store.
+struct Host {
+    std::string address; //!< for callers
+    std::string readyAddress;
+    std::unique_ptr<FaultProxy> storeLink;
+    std::unique_ptr<HostProcess> process;
+    bool ready = false;
+    bool stopped = false; //!< by SIGSTOP
+    bool killed = false; //!< by this run, since its last start
+    bool terminating = false;
+};
+
+//! Real sequoia-node processes between stand-ins, all on loopback.
+class Fleet {
+public:
+    Fleet(net::Reactor& reactor, FleetOptions options, Oracle& oracle, Oracle::Violated violated);
+    ~Fleet();
+
+    Result<Done> start();
+    //! Ends and starts of processes from now on are part of the end of the run.
+    void stopAll();
+    bool allEnded() const;
+
+    std::vector<Server>& servers() { return this->allServers; }
+    std::vector<Host>& hosts() { return this->allHosts; }
+    platform_standin::StoreStandIn& store() { return this->rows; }
+
+    void startServer(Server& server);
+    //! The server says that it leaves and ends after the users' draining time.
+    void drainServer(Server& server);
+    void changeConfiguration();
+    const std::vector<fleet::Route>& routes() const { return this->currentRoutes; }
+
+private:
+    Result<Done> addServer(const platform_standin::ServerTraits& traits);
+    Result<Done> addHost(unsigned number);
+    void beat();
+    void askReady();
+    void processEnded(Host& host, ProcessEnd end);
+
+    net::Reactor& reactor;
+    FleetOptions options;
+    Oracle& oracle;
+    Oracle::Violated violated;
+    RandomEngine random;
+    platform_standin::StoreStandIn rows;
+    client::CallClient readyCalls;
+    std::vector<Server> allServers;
+    std::vector<Host> allHosts;
+    std::vector<fleet::Route> currentRoutes;
+    std::uint64_t configurationVersion = 0;
+    bool ending = false;
+};
+
+}
--- /dev/null
+++ b/tests/soak/src/HostProcess.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/Error.h"
+
+#include <functional>
+#include <gio/gio.h>
+#include <string>
+
+namespace sequoia::soak {
+
+//! How a process ended.
+struct ProcessEnd {
+    bool bySignal = false;
+    int code = 0; //!< exit code, or the signal
+};
+
+//! One sequoia-node process, started again after each end. Its output goes to a file for each life.
+class HostProcess {
+public:
+    using Ended = std::function<void(HostProcess&, ProcessEnd)>;
+
+    HostProcess(std::string program, std::string settingsFile, std::string logPrefix, Ended ended);
+    ~HostProcess();
+
+    HostProcess(const HostProcess&) = delete;
+    HostProcess& operator=(const HostProcess&) = delete;
+
+    Result<Done> start();
+    void signal(int number);
+    bool isRunning() const { return this->process != nullptr; }
+    const std::string& logFile() const { return this->currentLog; }
+
+private:
+    static void onEnd(GObject* source, GAsyncResult* result, gpointer self);
+
+    std::string program;
+    std::string settingsFile;
+    std::string logPrefix;
+    Ended ended;
+    GSubprocess* process = nullptr;
+    GCancellable* cancellable;
+    std::string currentLog;
+    int lives = 0;
+};
+
+}
