SIGHUP reloads settings; a coordinator that stood still orders nothing before the store has answered

A renewal without the store is now sent only by a coordinator that has run without a standstill of 0.5 s; heirs look at the row after 0.6 s. Settings that change while it runs: [repeats], [edge] grace, [log] level; others are named in the log line.

--- a/libs/balance/include/balance/RepeatBudget.h
+++ b/libs/balance/include/balance/RepeatBudget.h
@@ -15,6 +15,7 @@
     //! `window` must pass before a repeat is forgotten; `share` is this host's part of the allowance of all hosts.
     RepeatBudget(Duration window, double ratio, double slack);
 
+    void setTerms(Duration window, double ratio, double slack);
     void noteRequest(TimePoint now);
     //! Takes one repeat from the allowance, unless it is used up.
     bool tryRepeat(TimePoint now, double share);
--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -35,6 +35,8 @@
     ~Scheduler();
 
     void setRepeatShare(double share) { this->terms.repeatShare = share; }
+    //! Takes ratio, slack and window of the terms; the share stays.
+    void setRepeatTerms(const SchedulerTerms& changed);
     //! Part of each server's slots that this scheduler may fill; below 1 where several decide alone.
     void setSlotShare(double share) { this->slotShare = share; }
     //! Replaces what is known of the backend servers; those that are missing are gone.
--- a/libs/balance/src/RepeatBudget.cpp
+++ b/libs/balance/src/RepeatBudget.cpp
@@ -21,6 +21,13 @@
     assert(length >= std::chrono::seconds(1));
 }
 
+void RepeatBudget::setTerms(Duration length, double allowedRatio, double allowedSlack)
+{
+    this->window = length;
+    this->ratio = allowedRatio;
+    this->slack = allowedSlack;
+}
+
 void RepeatBudget::noteRequest(TimePoint now)
 {
     ++this->current(now).requests;
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -80,6 +80,15 @@
 
 Scheduler::~Scheduler() = default;
 
+void Scheduler::setRepeatTerms(const SchedulerTerms& changed)
+{
+    auto share = this->terms.repeatShare;
+    this->terms = changed;
+    this->terms.repeatShare = share;
+    for (auto& [service, pool] : this->pools)
+        pool->budget.setTerms(changed.repeatWindow, changed.repeatRatio, changed.repeatSlack);
+}
+
 Scheduler::Pool& Scheduler::poolOf(const std::string& service)
 {
     auto& pool = this->pools[service];
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -40,6 +40,7 @@
     void start(std::vector<keyspace::KeyPlan> stored);
     bool isStarted() const { return this->started; }
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
+    void setRepeatTerms(const balance::SchedulerTerms& terms) { this->scheduler.setRepeatTerms(terms); }
     void setServers(const fleet::ServerMap& servers);
 
     //! Takes the messages of a host.
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -28,6 +28,7 @@
     void withdraw(std::uint64_t job) override;
     void ended(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
 
+    void setRepeatTerms(const balance::SchedulerTerms& terms) { this->scheduler.setRepeatTerms(terms); }
     void setServers(const fleet::ServerMap& servers);
     //! Hosts that share the allowance of repeats when each decides alone.
     void setHostCount(std::uint32_t hosts);
--- a/libs/runtime/include/runtime/Program.h
+++ b/libs/runtime/include/runtime/Program.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sequoia::runtime {
 
@@ -39,6 +40,8 @@
     virtual ~Service() = default;
     //! Starts a graceful stop; calls `finished` on any thread when the program may exit.
     virtual void stop(std::function<void()> finished) = 0;
+    //! Takes settings that changed while it runs, and returns the keys (section.key) that are in force from now on.
+    virtual std::vector<std::string> reload(const settings::Settings&) { return {}; }
 };
 
 struct ProgramDescription {
@@ -52,6 +55,7 @@
 
 //! Parses the command line (--settings, --set, --check, --print_settings, --help, --version), loads and
 //! checks the settings, runs the service until SIGTERM or SIGINT, and stops it gracefully. Returns the exit code.
+//! SIGHUP reads the settings file again; a file with mistakes changes nothing.
 int runProgram(int argc, char** argv, const ProgramDescription& description, const ServiceFactory& factory);
 
 }
--- a/libs/runtime/src/Program.cpp
+++ b/libs/runtime/src/Program.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Random.h"
 
+#include <algorithm>
 #include <gflags/gflags.h>
 #include <glib-unix.h>
 #include <glib.h>
@@ -16,6 +17,51 @@
 
 namespace {
 
+std::string joined(const std::vector<std::string>& keys)
+{
+    std::string text;
+    for (const auto& key : keys)
+        text += (text.empty() ? "" : ",") + key;
+    return text;
+}
+
+//! Reads the settings file again on SIGHUP.
+struct Reloader {
+    settings::Settings current;
+    Service& service;
+    timeline::EventLog& events;
+};
+
+gboolean onReloadSignal(gpointer data)
+{
+    auto& reloader = *static_cast<Reloader*>(data);
+    auto loaded = FLAGS_settings.empty() ? settings::Settings::parse("", "(defaults)", FLAGS_set)
+                                         : settings::Settings::load(FLAGS_settings, FLAGS_set);
+    if (!succeeded(loaded)) {
+        reloader.events.record(timeline::Severity::Error, "reload_refused",
+            { { "reason", errorOf(loaded).message },
+                { "remedy", "correct the file and send SIGHUP again; the settings before stay in force" } });
+        return G_SOURCE_CONTINUE;
+    }
+    auto changed = valueOf(loaded).changedKeys(reloader.current);
+    auto applied = reloader.service.reload(valueOf(loaded));
+    if (valueOf(loaded).text("log", "level") != reloader.current.text("log", "level")) {
+        timeline::setLogLevel(valueOf(loaded).text("log", "level"));
+        applied.emplace_back("log.level");
+    }
+    std::erase_if(
+        applied, [&](const auto& key) { return std::find(changed.begin(), changed.end(), key) == changed.end(); });
+    std::vector<std::string> atRestart;
+    for (const auto& key : changed) {
+        if (std::find(applied.begin(), applied.end(), key) == applied.end())
+            atRestart.push_back(key);
+    }
+    reloader.events.record(timeline::Severity::Info, "reloaded",
+        { { "in_force", joined(applied) }, { "at_next_start", joined(atRestart) } });
+    reloader.current = std::move(valueOf(loaded));
+    return G_SOURCE_CONTINUE;
+}
+
 struct StopRequest {
     GMainLoop* loop;
     Service* service;
@@ -43,15 +89,18 @@
     return G_SOURCE_CONTINUE;
 }
 
-void runUntilStopped(Service& service, timeline::EventLog& events)
+void runUntilStopped(Service& service, const settings::Settings& loaded, timeline::EventLog& events)
 {
     GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+    Reloader reloader { loaded, service, events };
+    guint hangUp = g_unix_signal_add(SIGHUP, onReloadSignal, &reloader);
     StopRequest request { loop, &service, &events };
     guint terminate = g_unix_signal_add(SIGTERM, onStopSignal, &request);
     guint interrupt = g_unix_signal_add(SIGINT, onStopSignal, &request);
     g_main_loop_run(loop);
     g_source_remove(terminate);
     g_source_remove(interrupt);
+    g_source_remove(hangUp);
     g_main_loop_unref(loop);
 }
 
@@ -71,7 +120,7 @@
         return toInt(ExitCode::Failure);
     }
     events.record(timeline::Severity::Info, "started", { { "incarnation", context.incarnation } });
-    runUntilStopped(*valueOf(created), events);
+    runUntilStopped(*valueOf(created), loaded, events);
     valueOf(created).reset();
     events.record(timeline::Severity::Info, "stopped", {});
     return toInt(ExitCode::Success);
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -33,6 +33,9 @@
     //! Names of the sections `[service NAME]`, in order of the file.
     const std::vector<std::string>& services() const { return this->serviceNames; }
 
+    //! Keys whose values differ, as section.key; also those that only one of the two has.
+    std::vector<std::string> changedKeys(const Settings& other) const;
+
     //! Every setting in force, as INI text.
     std::string toIni() const;
 
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <glib.h>
 #include <memory>
+#include <set>
 #include <sstream>
 
 namespace sequoia::settings {
@@ -240,6 +241,23 @@
     return elements;
 }
 
+std::vector<std::string> Settings::changedKeys(const Settings& other) const
+{
+    std::set<std::string> changed;
+    auto compare = [&changed](const Settings& left, const Settings& right) {
+        for (const auto& [section, keys] : left.values) {
+            auto same = right.values.find(section);
+            for (const auto& [key, value] : keys) {
+                if (same == right.values.end() || !same->second.contains(key) || same->second.at(key) != value)
+                    changed.insert(section + "." + key);
+            }
+        }
+    };
+    compare(*this, other);
+    compare(other, *this);
+    return { changed.begin(), changed.end() };
+}
+
 std::string Settings::toIni() const
 {
     std::string text;
--- a/libs/settings/tests/SettingsTest.cpp
+++ b/libs/settings/tests/SettingsTest.cpp
@@ -1,5 +1,6 @@
 #include "settings/Settings.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace sequoia;
@@ -67,3 +68,17 @@
     REQUIRE(succeeded(second));
     CHECK(valueOf(second).toIni() == valueOf(first).toIni());
 }
+
+// Guards against a reload that tells the operator a wrong list of what has changed.
+TEST_CASE("changed keys are listed, also those of sections that only one of the two has")
+{
+    auto before = Settings::parse("[router]\nworkers=3\n[service booking]\nslots=4\n", "test.ini", "");
+    auto after = Settings::parse("[router]\nworkers=5\n", "test.ini", "");
+    REQUIRE(succeeded(before));
+    REQUIRE(succeeded(after));
+    auto changed = valueOf(after).changedKeys(valueOf(before));
+    CHECK(std::find(changed.begin(), changed.end(), "router.workers") != changed.end());
+    CHECK(std::find(changed.begin(), changed.end(), "service booking.slots") != changed.end());
+    CHECK(std::find(changed.begin(), changed.end(), "edge.grace") == changed.end());
+    CHECK(valueOf(before).changedKeys(valueOf(before)).empty());
+}
--- a/libs/tenure/include/tenure/TenureMachine.h
+++ b/libs/tenure/include/tenure/TenureMachine.h
@@ -33,6 +33,9 @@
     Duration readIntervalOfLiving = std::chrono::milliseconds(2000);
     //! A coordinator without the store goes on renewing grants for this time at most.
     Duration longestWithoutStore = std::chrono::seconds(30);
+    //! A coordinator that stood still for this long without the store may have been replaced and ends its tenure.
+    //! Shorter than the silence after which heirs look at the row.
+    Duration standstillLimit = std::chrono::milliseconds(500);
     //! A coordinator without an answer to its renewals for this time asks its heirs to try the store.
     Duration storeDoubt = std::chrono::milliseconds(700);
     //! It hands the duty over after this time, when a host reports that it reaches the store: two renewals.
@@ -146,6 +149,7 @@
 private:
     std::vector<TenureOutput> tickLeading(TimePoint now);
     std::vector<TenureOutput> tickFollowing(TimePoint now);
+    bool isContinuous(TimePoint now) const;
     std::vector<TenureOutput> lose(const std::string& reason);
     std::vector<TenureOutput> startRead(TimePoint now);
     void planTakeover(const wire::Tenure& row, std::optional<std::int64_t> storeMillis, TimePoint now);
@@ -190,6 +194,7 @@
     TimePoint lastRenewal {}; //!< sending time of the last successful write
     TimePoint lastWriteAttempt {};
     TimePoint lastSuccess {};
+    TimePoint lastLeadingTick {};
     std::optional<TimePoint> lastPeer; //!< a report of another host in this tenure
     std::size_t hosts = 0;
     std::size_t hostsAtSuccess = 0; //!< when the store answered last
--- a/libs/tenure/src/TenureMachine.cpp
+++ b/libs/tenure/src/TenureMachine.cpp
@@ -34,6 +34,9 @@
 {
     if (now - this->lastSuccess >= this->terms.longestWithoutStore)
         return this->lose("no contact with the store for too long");
+    if (!this->isContinuous(now))
+        return this->lose("this host stood still and may have been replaced");
+    this->lastLeadingTick = now;
     if (this->resigning) {
         if (now - this->resignedAt >= this->terms.handoverLimit)
             return this->lose("no successor was heard");
@@ -230,6 +233,7 @@
         std::vector<TenureOutput> outputs;
         if (!this->leading) {
             this->leading = true;
+            this->lastLeadingTick = now;
             this->lastPeer.reset();
             this->hosts = 0;
             this->hostsAtSuccess = 0;
@@ -350,7 +354,14 @@
 
 bool TenureMachine::mayRenew(TimePoint now) const
 {
-    return this->leading && !this->resigning && now - this->lastSuccess < this->terms.longestWithoutStore;
+    return this->leading && !this->resigning && now - this->lastSuccess < this->terms.longestWithoutStore
+        && this->isContinuous(now);
+}
+
+// Heirs do not look at the row while they hear beacons; a coordinator that stood still has sent none.
+bool TenureMachine::isContinuous(TimePoint now) const
+{
+    return now - this->lastSuccess < this->terms.validity || now - this->lastLeadingTick < this->terms.standstillLimit;
 }
 
 bool TenureMachine::doubtsStore(TimePoint now) const
--- a/libs/tenure/tests/TenureTest.cpp
+++ b/libs/tenure/tests/TenureTest.cpp
@@ -367,6 +367,39 @@
     }
 }
 
+// Guards against two owners: a backend server that has started anew has forgotten its fences, and takes an order of a
+// coordinator that stood still meanwhile and was replaced (fault soak, seeds 102 and 103).
+TEST_CASE("a coordinator that stood still orders nothing before the store has answered")
+{
+    Hosts hosts(1, {});
+    hosts.run(std::chrono::seconds(2));
+    auto* leader = hosts.leader();
+    REQUIRE(leader);
+    CHECK(leader->machine->mayRenew(hosts.time()));
+    auto thawed = hosts.time() + std::chrono::seconds(4);
+    CHECK(!leader->machine->mayRenew(thawed));
+    CHECK(!leader->machine->mayChange(thawed));
+    // The first tick comes later than the first message.
+    leader->machine->peerHeard(thawed);
+    leader->machine->tick(thawed);
+    CHECK(!leader->machine->isCoordinator());
+}
+
+TEST_CASE("a coordinator that runs goes on renewing while the store is away for all")
+{
+    Hosts hosts(1, {});
+    hosts.run(std::chrono::seconds(2));
+    auto* leader = hosts.leader();
+    REQUIRE(leader);
+    auto now = hosts.time();
+    for (auto end = now + std::chrono::seconds(20); now < end; now += std::chrono::milliseconds(50)) {
+        leader->machine->peerHeard(now);
+        leader->machine->tick(now);
+        REQUIRE(leader->machine->mayRenew(now));
+    }
+    CHECK(!leader->machine->mayChange(now));
+}
+
 // Guards against two owners: a coordinator in the smaller part of a partition must not go on renewing grants.
 TEST_CASE("a coordinator that hears neither the store nor most of its hosts ends its tenure")
 {
--- a/libs/timeline/include/timeline/EventLog.h
+++ b/libs/timeline/include/timeline/EventLog.h
@@ -56,6 +56,9 @@
 //! Sets up log4cxx; `level` is debug, info, warn or error.
 void configureLogging(std::string_view level, LogTarget target = LogTarget::StandardError);
 
+//! Changes the level of what is logged from now on.
+void setLogLevel(std::string_view level);
+
 //! One line of key=value pairs; values with spaces, quotes or control characters are quoted.
 std::string formatEvent(std::string_view severity, const wire::Event& event);
 
--- a/libs/timeline/src/EventLog.cpp
+++ b/libs/timeline/src/EventLog.cpp
@@ -159,8 +159,13 @@
         auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
         root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr()));
     }
+    setLogLevel(level);
+}
+
+void setLogLevel(std::string_view level)
+{
     auto severity = valueNamed(severityNames, level).value_or(Severity::Info);
-    root->setLevel(levelOf(severity));
+    log4cxx::Logger::getRootLogger()->setLevel(levelOf(severity));
 }
 
 std::string formatEvent(std::string_view severity, const wire::Event& event)
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -110,6 +110,14 @@
     }
 }
 
+void CoordinationTask::reload(const settings::Settings& settings)
+{
+    this->scheduling = schedulingOf(settings);
+    this->placement->setRepeatTerms(this->scheduling);
+    if (this->coordinator)
+        this->coordinator->setRepeatTerms(this->scheduling);
+}
+
 bool CoordinationTask::isReady() const
 {
     return this->heardCoordinator || this->coordinator;
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -30,6 +30,8 @@
     void start();
     void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration);
     void setServers(const fleet::ServerMap& servers);
+    //! Takes the allowance of repeats from changed settings.
+    void reload(const settings::Settings& settings);
     edge::Placer& placer() { return *this->placement; }
     //! Whether jobs of keyed services can be placed.
     bool isReady() const;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -180,6 +180,13 @@
     this->reactor.scheduleAfter(sweepInterval, [this] { this->sweep(); });
 }
 
+std::vector<std::string> NodeService::reload(const settings::Settings& settings)
+{
+    this->grace = settings.duration("edge", "grace");
+    this->coordination->reload(settings);
+    return { "edge.grace", "repeats.ratio", "repeats.slack", "repeats.window" };
+}
+
 void NodeService::stop(std::function<void()> finished)
 {
     this->stopping = true;
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -20,6 +20,7 @@
     ~NodeService() override;
 
     void stop(std::function<void()> finished) override;
+    std::vector<std::string> reload(const settings::Settings& settings) override;
 
 private:
     explicit NodeService(const runtime::ProgramContext& context);
