Release the keys of a server that started anew before another one gets them; explain a request from log lines

When the list came, the keeper took the new life for empty and gave the keys to another server at once: two holders for up to 4 s. Ruled out: a late order; the grant was sent by the coordinator that then moved the keys. The simulation of the keeper delivered orders by life and published the list at once, so it could not show this; now it delivers by id and publishes up to 2.5 s late.

sequoiactl explain REQUEST_ID reads log lines of any hosts and prints the request's story in causal order with its meaning.

--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -274,7 +274,6 @@
 
 void GrantKeeper::advance(std::size_t index, TimePoint now, Outputs& outputs)
 {
-    auto& range = this->current.ranges[index];
     auto& state = this->states[index];
     if (state.outstanding != 0 && now - state.orderSent > orderLimit) {
         state.outstanding = 0;
@@ -287,7 +286,7 @@
         this->renew(index, now, outputs);
         break;
     case Stage::Releasing:
-        if (now > state.heldUntil || this->lifeIsOver(range.owner)) {
+        if (now > state.heldUntil) {
             state.stage = Stage::Granting;
             state.outstanding = 0;
             state.unanswered = 0;
@@ -355,8 +354,13 @@
     order.type = type;
     order.service = this->current.service;
     order.server = server;
+    // A server that started anew holds nothing of before, but takes orders that name its id: a renewal may have reached
+    // it before the list showed its new life. So what its earlier life had is released by the new one.
+    auto entry = this->servers.find(server.id);
     auto address = this->addresses.find(server);
-    if (address != this->addresses.end())
+    if (this->lifeIsOver(server))
+        order.address = entry->second.address;
+    else if (address != this->addresses.end())
         order.address = address->second;
     order.keys = this->current.ranges[index].keys;
     order.fence = fence;
--- a/libs/keyspace/tests/KeeperSimulation.h
+++ b/libs/keyspace/tests/KeeperSimulation.h
@@ -76,6 +76,7 @@
     void deliver();
     void tickKeeper();
     std::string check() const;
+    void publishSoon();
     void publish();
 
     RandomEngine random;
@@ -83,6 +84,8 @@
     TimePoint now { std::chrono::seconds(1000) };
     std::list<FakeServer> servers;
     fleet::ServerMap listed;
+    fleet::ServerMap published; //!< as the coordinators know it, later than it changes
+    std::optional<TimePoint> publishAt;
     std::optional<KeyPlan> stored;
     std::uint64_t keeperNumber = 0;
     std::unique_ptr<GrantKeeper> keeper;
--- a/libs/operatorcli/include/operatorcli/CommandLine.h
+++ b/libs/operatorcli/include/operatorcli/CommandLine.h
@@ -18,6 +18,7 @@
     Move,
     ConfirmGone,
     Timeline,
+    Explain,
     Help,
 };
 
--- a/libs/operatorcli/src/CommandLine.cpp
+++ b/libs/operatorcli/src/CommandLine.cpp
@@ -55,6 +55,10 @@
         "Merges the events that routers and controllers keep in memory. A cause is never shown after its effect,\n"
         "even when clocks differ. Processes that do not answer, and events already discarded, are reported.",
         "sequoiactl timeline --since_ms=600000 --grep=partition=booking" },
+    { CommandId::Explain, "explain", "REQUEST_ID [FILE]", "", "tell from log lines what became of a request",
+        "Reads the log lines of any number of hosts from FILE, or from standard input, and prints the lines of the\n"
+        "request and those that belong to them in causal order, then what they mean. Asks no process.",
+        "cat host-*.log | sequoiactl explain 9c41d07be2a35f68" },
     { CommandId::Help, "help", "[COMMAND]", "", "explain the commands, or one of them",
         "Without a command, lists all of them and the flags.", "sequoiactl help move" },
 });
--- a/libs/timeline/include/timeline/EventLog.h
+++ b/libs/timeline/include/timeline/EventLog.h
@@ -6,6 +6,7 @@
 #include <event.pb.h>
 #include <initializer_list>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -62,6 +63,9 @@
 //! One line of key=value pairs; values with spaces, quotes or control characters are quoted.
 std::string formatEvent(std::string_view severity, const wire::Event& event);
 
+//! Reads a line of formatEvent(), also behind a prefix; nothing for other lines.
+std::optional<wire::Event> parseEvent(std::string_view line);
+
 //! Merges the events of several processes in causal order.
 std::vector<wire::Event> mergeEvents(std::vector<std::vector<wire::Event>> perProcess);
 
--- a/libs/timeline/src/EventLog.cpp
+++ b/libs/timeline/src/EventLog.cpp
@@ -187,6 +187,68 @@
     return line;
 }
 
+namespace {
+
+//! Takes `key=value` off the front of a text; nothing when the text does not begin so.
+std::optional<std::pair<std::string, std::string>> takeField(std::string_view& text)
+{
+    auto equals = text.find('=');
+    if (equals == std::string_view::npos || equals == 0 || text.substr(0, equals).find(' ') != std::string_view::npos)
+        return std::nullopt;
+    std::pair<std::string, std::string> field { text.substr(0, equals), "" };
+    text.remove_prefix(equals + 1);
+    if (text.starts_with('"')) {
+        text.remove_prefix(1);
+        while (!text.empty() && text.front() != '"') {
+            bool escaped = text.front() == '\\' && text.size() > 1;
+            if (escaped)
+                text.remove_prefix(1);
+            field.second += escaped && text.front() == 'n' ? '\n' : text.front();
+            text.remove_prefix(1);
+        }
+        if (text.empty())
+            return std::nullopt;
+        text.remove_prefix(1);
+    } else {
+        auto end = std::min(text.find(' '), text.size());
+        field.second = text.substr(0, end);
+        text.remove_prefix(end);
+    }
+    while (text.starts_with(' '))
+        text.remove_prefix(1);
+    return field;
+}
+
+}
+
+std::optional<wire::Event> parseEvent(std::string_view line)
+{
+    auto start = line.find("time_ms=");
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    line.remove_prefix(start);
+    auto time = takeField(line);
+    auto severity = takeField(line);
+    auto process = takeField(line);
+    auto kind = takeField(line);
+    if (!time || !severity || !process || process->first != "process" || !kind || kind->first != "event")
+        return std::nullopt;
+    wire::Event event;
+    auto* stamp = event.mutable_time();
+    auto point = time->second.find('.');
+    stamp->set_wall_ms(std::strtoll(time->second.c_str(), nullptr, 10));
+    if (point != std::string::npos)
+        stamp->set_counter(static_cast<std::uint32_t>(std::strtoul(time->second.c_str() + point + 1, nullptr, 10)));
+    event.set_process(process->second);
+    event.set_kind(kind->second);
+    while (auto field = takeField(line)) {
+        auto* added = event.add_fields();
+        added->set_key(field->first);
+        added->set_value(field->second);
+    }
+    return event;
+}
+
 std::vector<wire::Event> mergeEvents(std::vector<std::vector<wire::Event>> perProcess)
 {
     std::vector<wire::Event> merged;
--- a/programs/sequoiactl/src/Commands.cpp
+++ b/programs/sequoiactl/src/Commands.cpp
@@ -1,9 +1,11 @@
 #include "Commands.h"
 
 #include "core/KeyHash.h"
+#include "operatorcli/Explanation.h"
 #include "operatorcli/Selection.h"
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 
 namespace sequoia::ctl {
@@ -252,6 +254,36 @@
     return report(invocation.options, holder, fleet.confirmGone(holder, request));
 }
 
+ExitCode explain(const Invocation& invocation)
+{
+    const auto& arguments = invocation.arguments;
+    std::ifstream file;
+    if (arguments.size() > 1) {
+        file.open(arguments[1]);
+        if (!file)
+            return fail(ExitCode::InvalidArguments,
+                { ErrorKind::NotFound, "cannot read " + arguments[1], "name a file with log lines of the hosts" });
+    }
+    std::vector<wire::Event> events;
+    std::string line;
+    while (std::getline(arguments.size() > 1 ? file : std::cin, line)) {
+        if (auto event = timeline::parseEvent(line))
+            events.push_back(std::move(*event));
+    }
+    auto read = events.size();
+    auto explanation = operatorcli::explainRequest(arguments[0], std::move(events));
+    if (!explanation.found)
+        return fail(ExitCode::Failure,
+            { ErrorKind::NotFound,
+                "no line of request " + arguments[0] + " among " + std::to_string(read) + " log lines",
+                "give the lines of all hosts; requests that a backend server answered are counted in the metrics "
+                "only" });
+    for (const auto& event : explanation.story)
+        std::cout << timeline::formatEvent("info", event) << '\n';
+    std::cout << '\n' << explanation.conclusion << '\n';
+    return ExitCode::Success;
+}
+
 ExitCode showHelp(const Invocation& invocation)
 {
     std::cout << (invocation.arguments.empty()
@@ -266,6 +298,8 @@
 {
     if (invocation.command->id == CommandId::Help)
         return showHelp(invocation);
+    if (invocation.command->id == CommandId::Explain)
+        return explain(invocation);
     Fleet fleet(invocation.options);
     if (invocation.command->id == CommandId::Hosts)
         return showHosts(invocation.options, fleet);
@@ -288,6 +322,7 @@
     case CommandId::Timeline:
         return showTimeline(invocation.options, fleet);
     case CommandId::Hosts:
+    case CommandId::Explain:
     case CommandId::Help:
         break;
     }
--- a/scripts/sequoiactl-completion.bash
+++ b/scripts/sequoiactl-completion.bash
@@ -1,7 +1,7 @@
 # Bash completion of sequoiactl; load with: source scripts/sequoiactl-completion.bash
 _sequoiactl() {
     local current=${COMP_WORDS[COMP_CWORD]}
-    local commands="status owner hosts routes move confirm-gone timeline help"
+    local commands="status owner hosts routes move confirm-gone timeline explain help"
     local flags="--platform= --processes= --output= --timeout_ms= --help"
     local command="" index
     for ((index = 1; index < COMP_CWORD; index++)); do
