Name in the request lines who decided: the coordinator with its term, or this host alone

A line of a request that was refused before its route was known showed left_ms=-7962005; it is empty now.

--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -190,7 +190,7 @@
     auto* observer = found->second.observer;
     this->pending.erase(found);
     this->placedJobs[number] = { server, byCoordinator ? this->term : 0 };
-    observer->onPlaced(number, { server, address });
+    observer->onPlaced(number, { server, address, this->placedJobs[number].term });
 }
 
 std::string PlacementClient::addressOf(const std::string& server) const
@@ -205,8 +205,9 @@
     if (found == this->pending.end())
         return;
     auto* observer = found->second.observer;
+    auto decider = found->second.remote ? this->term : 0;
     this->pending.erase(found);
-    observer->onRefused(number, reason, retryAfter);
+    observer->onRefused(number, { reason, retryAfter, decider });
 }
 
 void PlacementClient::apply(const std::vector<balance::Decision>& decisions)
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -16,7 +16,10 @@
 class Caller final : public edge::PlacementObserver {
 public:
     void onPlaced(std::uint64_t job, const edge::PlacementTarget& target) override { this->placed[job] = target; }
-    void onRefused(std::uint64_t job, balance::RefusalReason reason, Duration) override { this->refused[job] = reason; }
+    void onRefused(std::uint64_t job, const edge::PlacementRefusal& refusal) override
+    {
+        this->refused[job] = refusal.reason;
+    }
 
     std::map<std::uint64_t, edge::PlacementTarget> placed;
     std::map<std::uint64_t, balance::RefusalReason> refused;
--- a/libs/edge/include/edge/Placer.h
+++ b/libs/edge/include/edge/Placer.h
@@ -11,6 +11,14 @@
 struct PlacementTarget {
     std::string server;
     std::string address;
+    std::uint64_t term = 0; //!< of the coordinator that decided; 0 when this host decided alone
+};
+
+//! Why a job gets no backend server.
+struct PlacementRefusal {
+    balance::RefusalReason reason = balance::RefusalReason::Overloaded;
+    Duration retryAfter {};
+    std::uint64_t term = 0; //!< as in PlacementTarget
 };
 
 //! Told where a job runs.
@@ -18,7 +26,7 @@
 public:
     virtual ~PlacementObserver() = default;
     virtual void onPlaced(std::uint64_t job, const PlacementTarget& target) = 0;
-    virtual void onRefused(std::uint64_t job, balance::RefusalReason reason, Duration retryAfter) = 0;
+    virtual void onRefused(std::uint64_t job, const PlacementRefusal& refusal) = 0;
 };
 
 //! Finds a backend server for each job. Answers arrive through the observer, also from within submit().
--- a/libs/edge/src/Exchange.cpp
+++ b/libs/edge/src/Exchange.cpp
@@ -41,6 +41,11 @@
     return target.substr(0, target.find('?'));
 }
 
+std::string deciderOf(std::uint64_t term)
+{
+    return term == 0 ? "this-host" : "term-" + std::to_string(term);
+}
+
 std::string_view hostOf(std::string_view host)
 {
     return host.substr(0, host.find(':'));
@@ -183,16 +188,17 @@
     this->context.placer.submit(request, *this);
 }
 
-void Exchange::onRefused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter)
+void Exchange::onRefused(std::uint64_t number, const PlacementRefusal& refusal)
 {
     if (number != this->job)
         return;
     this->job = 0;
-    std::string text(nameOf(balance::refusalReasonNames, reason));
+    this->decidedBy = deciderOf(refusal.term);
+    std::string text(nameOf(balance::refusalReasonNames, refusal.reason));
     if (this->mayHaveRun)
         this->answerOwn(502, {}, "an attempt failed, and no other was possible: " + text);
     else
-        this->answerOwn(503, retryAfter, text);
+        this->answerOwn(503, refusal.retryAfter, text);
 }
 
 void Exchange::onPlaced(std::uint64_t number, const PlacementTarget& target)
@@ -201,6 +207,7 @@
         return;
     this->placed = true;
     this->server = target.server;
+    this->decidedBy = deciderOf(target.term);
     this->attemptStart = this->context.reactor.now();
     auto address = net::SocketAddress::parse(target.address);
     if (!succeeded(address)) {
@@ -478,8 +485,9 @@
         { "status", std::to_string(status) }, { "reason", reason }, { "route", this->route ? this->route->name : "" },
         { "config", std::to_string(this->configuration ? this->configuration->version : 0) },
         { "service", this->service }, { "key", this->key ? std::to_string(*this->key) : "" },
-        { "server", this->server }, { "attempts", std::to_string(this->attempts) },
-        { "age_ms", millis(now - this->arrived) }, { "left_ms", millis(this->limits.deadline - now) } });
+        { "server", this->server }, { "decided_by", this->decidedBy }, { "attempts", std::to_string(this->attempts) },
+        { "age_ms", millis(now - this->arrived) },
+        { "left_ms", this->route ? millis(this->limits.deadline - now) : "" } });
 }
 
 }
--- a/libs/edge/src/Exchange.h
+++ b/libs/edge/src/Exchange.h
@@ -50,7 +50,7 @@
     };
 
     void onPlaced(std::uint64_t job, const PlacementTarget& target) override;
-    void onRefused(std::uint64_t job, balance::RefusalReason reason, Duration retryAfter) override;
+    void onRefused(std::uint64_t job, const PlacementRefusal& refusal) override;
     void onSending() override { this->sent = true; }
     bool acceptsResponse(const http::Head& head) override;
     void onResponse(const http::Head& head, std::string_view bytes, bool complete) override;
@@ -92,6 +92,7 @@
     bool mayHaveRun = false;
     std::vector<std::string> tried;
     std::string server; //!< of the last attempt
+    std::string decidedBy; //!< who placed or refused it last, for the log
     client::ClientConnection* connection = nullptr;
     bool sent = false;
     TimePoint attemptStart {};
--- a/libs/edge/tests/EdgeFixture.cpp
+++ b/libs/edge/tests/EdgeFixture.cpp
@@ -68,7 +68,7 @@
     }
     this->changed.notify_all();
     if (!target)
-        observer.onRefused(job.id.number, balance::RefusalReason::NoServer, std::chrono::milliseconds(250));
+        observer.onRefused(job.id.number, { balance::RefusalReason::NoServer, std::chrono::milliseconds(250), 3 });
     else if (!target->server.empty())
         observer.onPlaced(job.id.number, *target);
 }
