--- a/libs/keyspace/include/keyspace/KeyLoad.h
+++ b/libs/keyspace/include/keyspace/KeyLoad.h
@@ -7,7 +7,7 @@
 
 namespace sequoia::keyspace {
 
-//! Requests per second of each key, as an average that forgets; where traffic rises suddenly, as a quicker one.
+//! Requests per second of each key, as an average that forgets.
 class KeyLoad {
 public:
     KeyLoad();
@@ -23,14 +23,10 @@
     double of(fleet::KeyRange keys) const { return this->sums[std::uint32_t(keys.last) + 1] - this->sums[keys.first]; }
 
 private:
-    double addBlock(std::uint32_t begin, double sum, double slowScale, double quickScale);
-
     std::vector<float> rates;
-    std::vector<float> quickRates;
     std::vector<std::uint16_t> counts;
     std::vector<double> sums;
     double covered = 0; //!< part of the averaging time with measurements
-    double quickCovered = 0;
     TimePoint lastAdvance {};
 };
 
--- a/libs/keyspace/src/Rebalancer.cpp
+++ b/libs/keyspace/src/Rebalancer.cpp
@@ -15,12 +15,7 @@
 // Moves per decision, of all servers and of one; each move stops its keys for the running work.
 constexpr std::size_t leastMovesPerDecision = 4;
 constexpr std::size_t serversPerMove = 4;
-constexpr std::size_t serversPerUrgentMove = 2;
-// Keys of a server that cannot do its load fill others up to this utilisation, above which waiting grows quickly.
-constexpr double urgentFillLevel = 0.8;
-constexpr int leastMovesFromServer = 3;
-// A server with many times the load that it can do gives keys to about as many others at once.
-constexpr int mostMovesFromServer = 40;
+constexpr int movesFromServer = 3;
 // Ranges per server that are worth their renewals.
 constexpr std::size_t rangesPerServer = 8;
 // A key whose load exceeds its server moves alone to a server that can do this much more. Speeds are learned to about a
@@ -209,31 +204,23 @@
         rest.ranges.erase(rest.ranges.begin() + static_cast<std::ptrdiff_t>(index));
     }
     auto less = [](const Usage& left, const Usage& right) { return left.utilization() < right.utilization(); };
-    std::map<fleet::ServerLife, int> movesAllowed;
-    for (const auto& entry : usage)
-        movesAllowed[entry.server]
-            = std::clamp(static_cast<int>(entry.utilization()), leastMovesFromServer, mostMovesFromServer);
     std::map<fleet::ServerLife, int> given;
-    while (true) {
+    auto limit = std::max(leastMovesPerDecision, usage.size() / serversPerMove);
+    while (moves.size() < limit) {
         std::sort(usage.begin(), usage.end(), less);
-        auto from = std::find_if(usage.rbegin(), usage.rend(),
-            [&](const Usage& entry) { return given[entry.server] < movesAllowed[entry.server]; });
+        auto from = std::find_if(
+            usage.rbegin(), usage.rend(), [&](const Usage& entry) { return given[entry.server] < movesFromServer; });
         auto& to = usage.front();
         if (from == usage.rend() || from->utilization() < relieveAbove * mean
             || from->utilization() < relieveLeastUtilization)
             break;
-        bool urgent = from->utilization() > 1;
-        if (moves.size()
-            >= std::max(leastMovesPerDecision, usage.size() / (urgent ? serversPerUrgentMove : serversPerMove)))
-            break;
         // Differences that the chance of arrivals explains do not justify a move.
         double noise = noiseFactor * std::sqrt(std::max(1.0, from->load) / load.coveredSeconds());
         if (from->load < mean * from->capacity + noise)
             break;
         ++given[from->server];
         double excess = (from->utilization() - mean) * from->capacity;
-        double level = urgent ? std::max(mean, urgentFillLevel) : mean;
-        double space = (level - to.utilization()) * to.capacity;
+        double space = (mean - to.utilization()) * to.capacity;
         auto candidate = chooseKeys(rest, load, from->server, std::min(excess, std::max(0.0, space)));
         if (!candidate || candidate->load <= 0 || rangesOf(plan, to.server) >= rangesPerServer)
             continue;
