--- a/libs/runtime/src/Program.cpp
+++ b/libs/runtime/src/Program.cpp
@@ -3,10 +3,12 @@
 #include "core/Random.h"
 
 #include <algorithm>
+#include <array>
 #include <gflags/gflags.h>
 #include <glib-unix.h>
 #include <glib.h>
 #include <iostream>
+#include <optional>
 
 DEFINE_string(settings, "", "path of the INI settings file");
 DEFINE_string(set, "", "overrides of settings, section.key=value, separated by commas");
@@ -34,7 +36,7 @@
 
 gboolean onReloadSignal(gpointer data)
 {
-    auto& reloader = *static_cast<Reloader*>(data);
+    auto& reloader = **static_cast<std::optional<Reloader>*>(data);
     auto loaded = FLAGS_settings.empty() ? settings::Settings::parse("", "(defaults)", FLAGS_set)
                                          : settings::Settings::load(FLAGS_settings, FLAGS_set);
     if (!succeeded(loaded)) {
@@ -89,23 +91,46 @@
     return G_SOURCE_CONTINUE;
 }
 
-void runUntilStopped(Service& service, const settings::Settings& loaded, timeline::EventLog& events)
-{
-    GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
-    Reloader reloader { loaded, service, events };
-    guint hangUp = g_unix_signal_add(SIGHUP, onReloadSignal, &reloader);
-    StopRequest request { loop, &service, &events };
-    guint terminate = g_unix_signal_add(SIGTERM, onStopSignal, &request);
-    guint interrupt = g_unix_signal_add(SIGINT, onStopSignal, &request);
-    g_main_loop_run(loop);
-    g_source_remove(terminate);
-    g_source_remove(interrupt);
-    g_source_remove(hangUp);
-    g_main_loop_unref(loop);
-}
+//! Handlers of signals; those that arrive before run() take effect then.
+class SignalLoop {
+public:
+    SignalLoop()
+        : loop(g_main_loop_new(nullptr, FALSE))
+    {
+        this->sources = { g_unix_signal_add(SIGTERM, onStopSignal, &this->request),
+            g_unix_signal_add(SIGINT, onStopSignal, &this->request),
+            g_unix_signal_add(SIGHUP, onReloadSignal, &this->reloader) };
+    }
+
+    ~SignalLoop()
+    {
+        for (auto source : this->sources)
+            g_source_remove(source);
+        g_main_loop_unref(this->loop);
+    }
+
+    SignalLoop(const SignalLoop&) = delete;
+    SignalLoop& operator=(const SignalLoop&) = delete;
+
+    //! Runs until the service has stopped.
+    void run(Service& service, const settings::Settings& loaded, timeline::EventLog& events)
+    {
+        this->request = { this->loop, &service, &events };
+        this->reloader.emplace(Reloader { loaded, service, events });
+        g_main_loop_run(this->loop);
+    }
+
+private:
+    GMainLoop* loop;
+    StopRequest request {};
+    std::optional<Reloader> reloader;
+    std::array<guint, 3> sources {};
+};
 
 int runService(const settings::Settings& loaded, const ProgramDescription& description, const ServiceFactory& factory)
 {
+    // First of all, so that a stop during the start is graceful, too.
+    SignalLoop signals;
     timeline::configureLogging(loaded.text("log", "level"), description.logTarget);
     SystemClock clock;
     const auto& host = loaded.text("host", "id");
@@ -120,7 +145,7 @@
         return toInt(ExitCode::Failure);
     }
     events.record(timeline::Severity::Info, "started", { { "incarnation", context.incarnation } });
-    runUntilStopped(*valueOf(created), loaded, events);
+    signals.run(*valueOf(created), loaded, events);
     valueOf(created).reset();
     events.record(timeline::Severity::Info, "stopped", {});
     return toInt(ExitCode::Success);
