The duty goes only to hosts that reached the store lately

Coordinators now ask strong hosts whether they reach the store, and count only those that did within a second.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -24,7 +24,7 @@
 struct BeaconState {
     std::string self; //!< incarnation of the coordinator's host
     bool resigned = false;
-    bool storeSilent = false; //!< heirs are to report whether they reach the store
+    bool askStore = false; //!< heirs are to find out whether they reach the store
     std::int64_t storeContactAge = 0; //!< milliseconds
 };
 
@@ -65,8 +65,10 @@
     std::uint64_t term() const { return this->currentTerm; }
     std::size_t hostCount() const { return this->hosts.size(); }
     std::size_t waitingJobs() const { return this->scheduler.waitingJobs(); }
-    //! Processor share of the strongest host that has reported for some time.
+    //! Processor share of the strongest host that has reported for some time, and of the strongest of those that
+    //! reached the store lately.
     double strongestHost() const;
+    double strongestHostAtStore() const;
     //! A report showed that another host reaches the store; cleared by the call.
     bool takePeerReachesStore();
 
@@ -84,6 +86,7 @@
         std::string dataCentre;
         TimePoint firstReport {};
         bool leaving = false;
+        TimePoint storeContact {}; //!< latest time at which it reached the store, as it reported
         TimePoint addressesSent {}; //!< the addresses of all hosts, to an heir
     };
     struct KeyedService {
@@ -103,6 +106,7 @@
     wire::Datagram& answerTo(const std::string& address);
     void fillPlans(Host& host, wire::Beacon& beacon);
     void fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists);
+    bool isSteady(const Host& host) const;
     std::map<std::string, std::uint32_t> heirRanks(const std::string& self) const;
     void fillHostAddresses(Host& host, wire::Beacon& beacon) const;
     void updateCapacities();
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -199,8 +199,10 @@
     host.dataCentre = report.data_centre();
     host.leaving = report.leaving();
     host.directoryVersion = report.directory_term() == this->currentTerm ? report.directory_version() : 0;
-    if (report.store_contact_age_ms() < reachesStoreMillis)
+    if (report.store_contact_age_ms() < reachesStoreMillis) {
         this->peerReachesStore = true;
+        host.storeContact = this->clock.now() - fromMillis(report.store_contact_age_ms());
+    }
     std::map<std::string, unsigned> others;
     for (const auto& [incarnation, entry] : this->hosts) {
         for (const auto& [server, count] : entry.ownPlacements)
@@ -296,7 +298,7 @@
 {
     std::vector<std::pair<double, std::string>> order;
     for (const auto& [incarnation, host] : this->hosts) {
-        if (incarnation != self && !host.leaving && this->clock.now() - host.firstReport >= steadyReports)
+        if (incarnation != self && this->isSteady(host))
             order.emplace_back(-host.strength, incarnation);
     }
     std::sort(order.begin(), order.end());
@@ -341,7 +343,7 @@
         Outgoing outgoing { host.address, {} };
         auto* beacon = outgoing.datagram.mutable_beacon();
         beacon->set_store_contact_age_ms(state.storeContactAge);
-        beacon->set_store_silent(state.storeSilent);
+        beacon->set_ask_store(state.askStore);
         auto rank = ranks.find(incarnation);
         if (rank != ranks.end()) {
             beacon->set_heir_rank(rank->second);
@@ -375,11 +377,26 @@
     }
 }
 
+bool Coordinator::isSteady(const Host& host) const
+{
+    return !host.leaving && this->clock.now() - host.firstReport >= steadyReports;
+}
+
+double Coordinator::strongestHostAtStore() const
+{
+    double strongest = 0;
+    for (const auto& [incarnation, host] : this->hosts) {
+        if (this->isSteady(host) && this->clock.now() - host.storeContact < fromMillis(reachesStoreMillis))
+            strongest = std::max(strongest, host.strength);
+    }
+    return strongest;
+}
+
 double Coordinator::strongestHost() const
 {
     double strongest = 0;
     for (const auto& [incarnation, host] : this->hosts) {
-        if (!host.leaving && this->clock.now() - host.firstReport >= steadyReports)
+        if (this->isSteady(host))
             strongest = std::max(strongest, host.strength);
     }
     return strongest;
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -281,3 +281,32 @@
     applyUpdate(after, copy);
     CHECK(copy.size() == changed.size());
 }
+
+// Guards against a duty that goes back and forth: a weak coordinator handed it to the strongest host, which the store
+// refused, so that it came back two seconds later, again and again (gctm-rdv trouble-1, seed 1003).
+TEST_CASE("only hosts that reached the store lately count as able to take the duty")
+{
+    ManualClock clock;
+    Coordinator coordinator(clock, 1, {}, {});
+    coordinator.start({});
+    auto report = [&](std::int64_t contactAge) {
+        wire::Datagram datagram;
+        datagram.set_sender("strong");
+        datagram.mutable_report()->set_strength(4);
+        datagram.mutable_report()->set_store_contact_age_ms(contactAge);
+        coordinator.receive(datagram, "10.1.0.1:1");
+    };
+    for (int round = 0; round < 20; ++round) {
+        report(5000);
+        clock.advance(std::chrono::milliseconds(150));
+    }
+    CHECK(coordinator.strongestHost() == 4);
+    CHECK(coordinator.strongestHostAtStore() == 0);
+    report(100);
+    CHECK(coordinator.strongestHostAtStore() == 4);
+    for (int round = 0; round < 8; ++round) {
+        report(100 + 150 * (round + 1));
+        clock.advance(std::chrono::milliseconds(150));
+    }
+    CHECK(coordinator.strongestHostAtStore() == 0);
+}
--- a/libs/tenure/include/tenure/TenureMachine.h
+++ b/libs/tenure/include/tenure/TenureMachine.h
@@ -98,7 +98,7 @@
     std::string address; //!< of the coordinator
     bool resigned = false; //!< The coordinator orders nothing any more.
     unsigned heirRank = 0; //!< from 1; 0 when this host is no heir
-    bool storeSilent = false; //!< The coordinator asks whether this host reaches the store.
+    bool askStore = false; //!< The coordinator asks whether this host reaches the store.
 };
 
 //! Which host coordinates: one row in the store names it, and it renews the row while it lives. Pure.
--- a/libs/tenure/src/TenureMachine.cpp
+++ b/libs/tenure/src/TenureMachine.cpp
@@ -288,7 +288,7 @@
     this->rowChanges = false;
     this->rowVersion.reset();
     this->takeoverAt.reset();
-    bool asked = news.storeSilent && news.heirRank > 0 && !this->retired;
+    bool asked = news.askStore && news.heirRank > 0 && !this->retired;
     if (asked && now - this->lastRead >= this->terms.readInterval)
         return this->startRead(now);
     return {};
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -167,8 +167,7 @@
 {
     const auto& beacon = datagram.beacon();
     this->execute(this->tenure.beaconReceived(
-        { datagram.term(), sender, beacon.resigned(), beacon.heir_rank(), beacon.store_silent() },
-        this->reactor.now()));
+        { datagram.term(), sender, beacon.resigned(), beacon.heir_rank(), beacon.ask_store() }, this->reactor.now()));
     if (beacon.host_addresses_size() > 0)
         this->heardHosts.assign(beacon.host_addresses().begin(), beacon.host_addresses().end());
     for (const auto& message : beacon.plans()) {
@@ -416,7 +415,8 @@
     auto now = this->reactor.now();
     this->lastBeacon = now;
     this->send(this->coordinator->beacons({ this->incarnation, this->tenure.isResigning(),
-        this->tenure.doubtsStore(now), toMillis(now - this->storeContact()) }));
+        this->tenure.doubtsStore(now) || this->coordinator->strongestHost() >= strongerBy * this->strength,
+        toMillis(now - this->storeContact()) }));
 }
 
 void CoordinationTask::loadPlans(std::uint64_t term)
@@ -466,12 +466,12 @@
         this->execute(this->tenure.superseded(now));
         return;
     }
-    // A weak host keeps the duty only until a strong one is there.
-    if (!this->tenure.isResigning() && this->coordinator->strongestHost() >= strongerBy * this->strength) {
+    // A weak host keeps the duty only until a strong one is there that can take it: the store may refuse that one.
+    if (!this->tenure.isResigning() && this->coordinator->strongestHostAtStore() >= strongerBy * this->strength) {
         this->events.record(timeline::Severity::Info, "coordinator",
             { { "change", "resigns" }, { "reason", "a stronger host is there" },
                 { "strength", std::to_string(this->strength) },
-                { "strongest", std::to_string(this->coordinator->strongestHost()) } });
+                { "strongest", std::to_string(this->coordinator->strongestHostAtStore()) } });
         this->execute(this->tenure.resign("a stronger host is there", now));
         if (!this->coordinator)
             return;
