No voluntary change of the coordinator while keys wait for a hold; heirs that reach the store come first

Cause: each new coordinator waits one hold (4.5 s) for a lost owner whose last order it does not know. And of the hosts that may follow, the first three were the strongest, although only another one reached the store (1.4 s). What binds there now: the store is out of reach of all hosts for 10 s while 8 servers are lost, and without the store no owner changes; a new coordinator could learn the end of a hold from the plan (not built).

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -61,6 +61,8 @@
     void planWritten(const std::string& service, std::uint64_t sequence);
     void orderAnswered(const keyspace::Order& order, const keyspace::OrderAnswer& answer);
     bool isSuperseded() const;
+    //! Whether no owner of keys is being replaced, so that a change of the coordinator costs nobody time.
+    bool isSettled() const;
 
     std::uint64_t term() const { return this->currentTerm; }
     std::size_t hostCount() const { return this->hosts.size(); }
@@ -107,6 +109,7 @@
     void fillPlans(Host& host, wire::Beacon& beacon);
     void fillDirectory(Host& host, wire::Beacon& beacon, unsigned& wholeLists);
     bool isSteady(const Host& host) const;
+    bool reachesStore(const Host& host) const;
     std::map<std::string, std::uint32_t> heirRanks(const std::string& self) const;
     void fillHostAddresses(Host& host, wire::Beacon& beacon) const;
     void updateCapacities();
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <tuple>
 
 namespace sequoia::coordination {
 
@@ -293,18 +294,19 @@
     this->inheritedUntil = this->clock.now() + inheritedBeacons;
 }
 
-// The strongest hosts that stay come first; among equal ones the order is that of their incarnations, which is random.
+// Hosts that are known to reach the store come first, since only they can follow, then the strongest that stay; among
+// equal ones the order is that of their incarnations, which is random.
 std::map<std::string, std::uint32_t> Coordinator::heirRanks(const std::string& self) const
 {
-    std::vector<std::pair<double, std::string>> order;
+    std::vector<std::tuple<bool, double, std::string>> order;
     for (const auto& [incarnation, host] : this->hosts) {
         if (incarnation != self && this->isSteady(host))
-            order.emplace_back(-host.strength, incarnation);
+            order.emplace_back(!this->reachesStore(host), -host.strength, incarnation);
     }
     std::sort(order.begin(), order.end());
     std::map<std::string, std::uint32_t> ranks;
     for (std::size_t i = 0; i < std::min(heirCount, order.size()); ++i)
-        ranks[order[i].second] = static_cast<std::uint32_t>(i + 1);
+        ranks[std::get<std::string>(order[i])] = static_cast<std::uint32_t>(i + 1);
     return ranks;
 }
 
@@ -382,11 +384,16 @@
     return !host.leaving && this->clock.now() - host.firstReport >= steadyReports;
 }
 
+bool Coordinator::reachesStore(const Host& host) const
+{
+    return this->clock.now() - host.storeContact < fromMillis(reachesStoreMillis);
+}
+
 double Coordinator::strongestHostAtStore() const
 {
     double strongest = 0;
     for (const auto& [incarnation, host] : this->hosts) {
-        if (this->isSteady(host) && this->clock.now() - host.storeContact < fromMillis(reachesStoreMillis))
+        if (this->isSteady(host) && this->reachesStore(host))
             strongest = std::max(strongest, host.strength);
     }
     return strongest;
@@ -446,6 +453,13 @@
         found->second.keeper->answered(order.id, answer, this->clock.now());
 }
 
+bool Coordinator::isSettled() const
+{
+    return this->started && std::all_of(this->keyed.begin(), this->keyed.end(), [](const auto& entry) {
+        return entry.second.keeper->isSettled();
+    });
+}
+
 bool Coordinator::isSuperseded() const
 {
     return std::any_of(
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -302,6 +302,30 @@
     }
     CHECK(coordinator.strongestHost() == 4);
     CHECK(coordinator.strongestHostAtStore() == 0);
+    // An heir is of use only if it reaches the store.
+    auto rankOf = [&](const std::string& address) {
+        for (const auto& beacon : coordinator.beacons({ "self", false, true, 0 })) {
+            if (beacon.address == address)
+                return beacon.datagram.beacon().heir_rank();
+        }
+        return 0U;
+    };
+    auto reportOfWeak = [&](std::int64_t contactAge) {
+        wire::Datagram datagram;
+        datagram.set_sender("weak");
+        datagram.mutable_report()->set_strength(1);
+        datagram.mutable_report()->set_store_contact_age_ms(contactAge);
+        coordinator.receive(datagram, "10.1.0.2:1");
+    };
+    for (int round = 0; round < 20; ++round) {
+        report(5000);
+        reportOfWeak(5000);
+        clock.advance(std::chrono::milliseconds(150));
+    }
+    CHECK(rankOf("10.1.0.1:1") == 1);
+    reportOfWeak(100);
+    CHECK(rankOf("10.1.0.2:1") == 1);
+    CHECK(rankOf("10.1.0.1:1") == 2);
     report(100);
     CHECK(coordinator.strongestHostAtStore() == 4);
     for (int round = 0; round < 8; ++round) {
--- a/libs/keyspace/include/keyspace/GrantKeeper.h
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -90,6 +90,8 @@
     //! The plan as the hosts are told: including changes since the last write that do not need one.
     const KeyPlan& plan() const { return this->current; }
     std::uint64_t version() const { return this->changes; }
+    //! Whether no owner is being replaced. A coordinator that follows waits again for the hold of a lost owner.
+    bool isSettled() const;
     //! A server has seen a higher fence than this coordinator gave out.
     bool isSuperseded() const { return this->superseded; }
 
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -445,6 +445,12 @@
     state.confirmedUntil = std::max(state.confirmedUntil, confirmed);
 }
 
+bool GrantKeeper::isSettled() const
+{
+    return std::all_of(
+        this->states.begin(), this->states.end(), [](const RangeState& state) { return state.stage == Stage::Steady; });
+}
+
 balance::Owner GrantKeeper::ownerOf(fleet::Key key, TimePoint now) const
 {
     auto index = this->current.find(key);
--- a/libs/keyspace/tests/GrantKeeperTest.cpp
+++ b/libs/keyspace/tests/GrantKeeperTest.cpp
@@ -254,3 +254,16 @@
     CHECK(steps.keeper.isSuperseded());
     CHECK(steps.tick(std::chrono::seconds(2)).empty());
 }
+
+// Guards against a change of the coordinator while keys wait for the hold of a lost owner: the next one waits anew
+// (gctm-rdv trouble-1, seed 1003: keys without an owner for 14 s over three changes).
+TEST_CASE("a keeper is settled only while no owner is being replaced")
+{
+    StepByStep steps(servers({ "a", "b" }));
+    CHECK(!steps.keeper.isSettled());
+    steps.accept(steps.tick(std::chrono::milliseconds(10)));
+    CHECK(steps.keeper.isSettled());
+    steps.list(servers({ "b" }));
+    steps.tick(std::chrono::milliseconds(500));
+    CHECK(!steps.keeper.isSettled());
+}
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -467,7 +467,8 @@
         return;
     }
     // A weak host keeps the duty only until a strong one is there that can take it: the store may refuse that one.
-    if (!this->tenure.isResigning() && this->coordinator->strongestHostAtStore() >= strongerBy * this->strength) {
+    bool stronger = this->coordinator->strongestHostAtStore() >= strongerBy * this->strength;
+    if (stronger && !this->tenure.isResigning() && this->coordinator->isSettled()) {
         this->events.record(timeline::Severity::Info, "coordinator",
             { { "change", "resigns" }, { "reason", "a stronger host is there" },
                 { "strength", std::to_string(this->strength) },
