--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -80,8 +80,6 @@
     void dispatchQueue(Pool& pool, const std::string& queue, TimePoint now, std::vector<Decision>& decisions);
     void dispatch(Pool& pool, TimePoint now, std::vector<Decision>& decisions);
     std::optional<std::string> chooseServer(const Pool& pool, const Job& job, TimePoint now) const;
-    //! When a job of a queue that is placed now will most probably have ended, with what it may wait at its server.
-    TimePoint probableEnd(const Pool& pool, const std::string& queue, TimePoint now) const;
     double capacity(Pool& pool, const std::string& queue, TimePoint now) const;
     std::optional<Refused> admissionRefusal(Pool& pool, const Job& job, TimePoint now);
     std::optional<Refused> waitRefusal(
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -22,9 +22,6 @@
 constexpr double otherDataCentreCost = 1.08;
 // Servers whose expected time is this many times the usual one get only jobs that they finish in time.
 constexpr double slowCost = 3;
-// Under overload the next job is always one that just makes its target. Work varies by a half (the users' site files:
-// spread 0.3 to 0.8), so that with the usual time alone about every second job would come late.
-constexpr double onTimeMargin = 1.5;
 // Part of the usual time without which a job is not worth starting.
 constexpr double leastWorkLeft = 1.0;
 // Retry-After lies between these; callers wait at most a third of the time that they have left.
@@ -210,7 +207,7 @@
     // The job is still waiting: refuses it at once when it cannot make its deadline.
     position = queue.find(rank);
     if (position != queue.end()) {
-        auto ahead = Pool::aheadOf(queue, rank, this->probableEnd(pool, name, now));
+        auto ahead = Pool::aheadOf(queue, rank, now + pool.normal());
         if (auto refusal = this->waitRefusal(pool, name, job, ahead, now)) {
             queue.erase(position);
             this->waiting.erase(job.id);
@@ -271,7 +268,7 @@
     this->quarantine.forgetOld(now);
     for (auto& [service, pool] : this->pools) {
         for (auto& [name, queue] : pool->queues) {
-            auto finish = this->probableEnd(*pool, name, now);
+            auto finish = now + pool->normal();
             auto onTime = static_cast<std::size_t>(std::count_if(
                 queue.begin(), queue.end(), [&](const auto& entry) { return entry.first.target >= finish; }));
             std::size_t onTimeAhead = 0;
@@ -337,7 +334,7 @@
     if (found == pool.queues.end() || found->second.empty())
         return;
     auto& queue = found->second;
-    auto finish = this->probableEnd(pool, name, now);
+    auto finish = now + pool.normal();
     // Jobs that still make their target go first; late ones get what is left.
     for (bool onTime : { true, false }) {
         for (auto entry = queue.begin(); entry != queue.end();) {
@@ -400,19 +397,6 @@
     return best ? std::optional(best->entry().life.id) : std::nullopt;
 }
 
-TimePoint Scheduler::probableEnd(const Pool& pool, const std::string& name, TimePoint now) const
-{
-    double time = pool.normalMicros * onTimeMargin;
-    auto owner = pool.keyed ? this->loads.find(name) : this->loads.end();
-    if (owner != this->loads.end()) {
-        const auto& load = owner->second;
-        time *= load.slowness(pool.normal(), now);
-        if (load.inFlight() >= load.entry().slots)
-            time += pool.normalMicros * load.slowness(pool.normal(), now) / load.entry().slots;
-    }
-    return now + Duration(static_cast<std::int64_t>(time));
-}
-
 double Scheduler::capacity(Pool& pool, const std::string& name, TimePoint now) const
 {
     auto capacityOf = [&](const ServerLoad& load) {
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -249,7 +249,7 @@
             auto same = right.values.find(section);
             for (const auto& [key, value] : keys) {
                 if (same == right.values.end() || !same->second.contains(key) || same->second.at(key) != value)
-                    changed.insert(section + "." + key);
+                    changed.insert(std::string(section).append(".").append(key));
             }
         }
     };
