--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -1,5 +1,7 @@
 #include "CoordinationTask.h"
 
+#include "Terms.h"
+
 #include <algorithm>
 
 namespace sequoia::node {
@@ -16,37 +18,12 @@
 // Reports and beacons; a host turns to its own decisions after several missing beacons.
 constexpr Duration reportInterval = std::chrono::milliseconds(150);
 constexpr Duration beaconInterval = std::chrono::milliseconds(150);
-// A list that was not confirmed for this time is read from the store instead.
-constexpr Duration toldValidity = std::chrono::milliseconds(900);
-// The coordinator reads the list every 0.8 s; an answer may take some time.
-constexpr std::int64_t oldestTold = 1500;
+// A coordinator counts as heard for this time after its last beacon.
+constexpr Duration heardValidity = std::chrono::milliseconds(900);
 // A handover costs callers some tenths of a second, so that a small difference is not worth it.
 constexpr double strongerBy = 2;
 constexpr Duration plansRetry = std::chrono::milliseconds(150);
 
-balance::SchedulerTerms schedulingOf(const settings::Settings& settings)
-{
-    balance::SchedulerTerms terms;
-    terms.repeatRatio = settings.real("repeats", "ratio");
-    terms.repeatSlack = settings.real("repeats", "slack");
-    terms.repeatWindow = settings.duration("repeats", "window");
-    return terms;
-}
-
-keyspace::GrantTerms grantTermsOf(const settings::Settings& settings)
-{
-    keyspace::GrantTerms terms;
-    terms.holdTime = std::min(terms.holdTime, settings.duration("grants", "longest_hold"));
-    return terms;
-}
-
-tenure::TenureTerms tenureTermsOf(const settings::Settings& settings)
-{
-    tenure::TenureTerms terms;
-    terms.strength = settings.real("node", "processor_share");
-    return terms;
-}
-
 }
 
 Result<std::unique_ptr<CoordinationTask>> CoordinationTask::create(net::Reactor& reactor,
@@ -179,7 +156,7 @@
                 { { "service", message.service() }, { "reason", errorOf(plan).message },
                     { "remedy", errorOf(plan).remedy } });
     }
-    this->takeDirectory(datagram.term(), beacon);
+    this->told.take(datagram.term(), beacon, this->reactor.now());
     if (this->versionTold)
         this->versionTold(beacon.configuration_version());
     this->heardCoordinator = true;
@@ -187,43 +164,20 @@
     this->placement->setHostCount(beacon.hosts());
 }
 
-void CoordinationTask::takeDirectory(std::uint64_t term, const wire::Beacon& beacon)
-{
-    if (beacon.has_directory()) {
-        const auto& update = beacon.directory();
-        bool fits = update.base() == 0 || (term == this->toldTerm && update.base() == this->toldVersion);
-        if (fits) {
-            coordination::applyUpdate(update, this->toldServers);
-            this->toldTerm = term;
-            this->toldVersion = update.version();
-            this->lastTold = this->reactor.now();
-            if (this->directoryTold)
-                this->directoryTold(this->toldServers, true);
-        }
-    }
-    // A coordinator without the store tells an old list; hosts then look for themselves, and report what they reach.
-    bool current = beacon.store_contact_age_ms() < oldestTold;
-    if (!current || term != this->toldTerm || beacon.directory_version() != this->toldVersion)
-        return;
-    this->lastTold = this->reactor.now();
-    if (this->directoryTold)
-        this->directoryTold(this->toldServers, false);
-}
-
-void CoordinationTask::onTold(DirectoryTold directory, VersionTold version)
+void CoordinationTask::onTold(ToldDirectory::Told directory, VersionTold version)
 {
-    this->directoryTold = std::move(directory);
+    this->told.onTold(std::move(directory));
     this->versionTold = std::move(version);
 }
 
 bool CoordinationTask::hearsCoordinator() const
 {
-    return !this->coordinator && this->reactor.now() - this->lastTold < toldValidity;
+    return !this->coordinator && this->told.isCurrent(this->reactor.now());
 }
 
 bool CoordinationTask::coordinatorAlive() const
 {
-    return !this->coordinator && this->reactor.now() - this->lastHeard < toldValidity;
+    return !this->coordinator && this->reactor.now() - this->lastHeard < heardValidity;
 }
 
 void CoordinationTask::scheduleFlush()
@@ -307,8 +261,8 @@
     this->placement->fillReport(*message);
     message->set_strength(this->strength);
     message->set_data_centre(this->dataCentre);
-    message->set_directory_term(this->toldTerm);
-    message->set_directory_version(this->toldVersion);
+    message->set_directory_term(this->told.term());
+    message->set_directory_version(this->told.version());
     message->set_leaving(this->retiring);
     message->set_store_contact_age_ms(toMillis(this->storeContactAge()));
     if (this->coordinator) {
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ToldDirectory.h"
 #include "coordination/Coordinator.h"
 #include "coordination/PlacementClient.h"
 #include "core/Random.h"
@@ -38,9 +39,8 @@
     //! Hands the duty over, if this host has it, and takes it no more.
     void retire();
     //! What the coordinator tells: the list of backend servers, and the newest configuration version.
-    using DirectoryTold = std::function<void(const fleet::ServerMap&, bool changed)>;
     using VersionTold = std::function<void(std::uint64_t)>;
-    void onTold(DirectoryTold directory, VersionTold version);
+    void onTold(ToldDirectory::Told directory, VersionTold version);
     //! Whether this host relies on the coordinator for what the store says.
     bool hearsCoordinator() const;
     //! Whether a beacon arrived lately, whatever the coordinator knows.
@@ -59,7 +59,6 @@
     void received(std::string_view bytes, const net::SocketAddress& sender);
     void handle(const wire::Datagram& datagram, const std::string& sender);
     void handleBeacon(const wire::Datagram& datagram, const std::string& sender);
-    void takeDirectory(std::uint64_t term, const wire::Beacon& beacon);
     Duration storeContactAge() const;
     void scheduleFlush();
     void flush();
@@ -97,13 +96,8 @@
     platform_adapter::OrderSender orders;
     std::shared_ptr<const fleet::Configuration> configuration;
     fleet::ServerMap servers;
-    DirectoryTold directoryTold;
     VersionTold versionTold;
-    //! The list as the coordinator told it, with its term and version.
-    fleet::ServerMap toldServers;
-    std::uint64_t toldTerm = 0;
-    std::uint64_t toldVersion = 0;
-    TimePoint lastTold {};
+    ToldDirectory told;
     TimePoint lastHeard {};
     std::uint64_t heardTerm = 0;
     bool heardCoordinator = false;
--- /dev/null
+++ b/programs/node/src/Terms.cpp
@@ -0,0 +1,30 @@
+#include "Terms.h"
+
+#include <algorithm>
+
+namespace sequoia::node {
+
+balance::SchedulerTerms schedulingOf(const settings::Settings& settings)
+{
+    balance::SchedulerTerms terms;
+    terms.repeatRatio = settings.real("repeats", "ratio");
+    terms.repeatSlack = settings.real("repeats", "slack");
+    terms.repeatWindow = settings.duration("repeats", "window");
+    return terms;
+}
+
+keyspace::GrantTerms grantTermsOf(const settings::Settings& settings)
+{
+    keyspace::GrantTerms terms;
+    terms.holdTime = std::min(terms.holdTime, settings.duration("grants", "longest_hold"));
+    return terms;
+}
+
+tenure::TenureTerms tenureTermsOf(const settings::Settings& settings)
+{
+    tenure::TenureTerms terms;
+    terms.strength = settings.real("node", "processor_share");
+    return terms;
+}
+
+}
