--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -22,7 +22,7 @@
 constexpr Duration steadyReports = std::chrono::seconds(2);
 constexpr Duration directoryResend = std::chrono::milliseconds(350);
 constexpr unsigned wholeListsAtOnce = 8;
-// Hosts that take over first when the coordinator is lost; three survive the loss of one data centre.
+// Hosts that take over first when the coordinator is lost; several, since they may be lost with it.
 constexpr std::size_t heirCount = 3;
 // An heir has the addresses of all hosts, which are some kilobytes for a hundred of them, about as old as this.
 constexpr Duration addressesInterval = std::chrono::seconds(1);
