Let no finished gRPC call hold its client's channel

Cause: the call's context, which holds the channel, lived in the completion callback and was released after the client had been told that the call was over. When the client had been destroyed meanwhile, gRPC's own thread dropped the last reference to the channel, and with it destroyed the queue that this thread was running.

Ruled out: load on the machine (it fails on an idle one) and a fault of gRPC's polling (the stack of the first free, taken with ASAN_OPTIONS=fast_unwind_on_malloc=0, leads to Client::Impl::Call).

Conclusion: the context is released before the client is told, so that the client's own reference to the channel is always the last one.

--- a/libs/rpc/src/Client.cpp
+++ b/libs/rpc/src/Client.cpp
@@ -56,16 +56,19 @@
     {
         auto call = std::make_shared<Call<Request, Reply>>();
         call->request = request;
-        call->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        call->context->set_deadline(std::chrono::system_clock::now() + timeout);
         {
             std::lock_guard lock(this->mutex);
-            this->active.insert(&call->context);
+            this->active.insert(call->context.get());
         }
-        invoke(&call->context, &call->request, &call->reply,
+        invoke(call->context.get(), &call->request, &call->reply,
             [this, call, callback = std::move(callback)](const grpc::Status& status) {
                 callback(status.ok() ? Result<Reply>(std::move(call->reply)) : Result<Reply>(toError(status)));
                 std::lock_guard lock(this->mutex);
-                this->active.erase(&call->context);
+                this->active.erase(call->context.get());
+                // The context holds the channel. The client's own reference has to be the last one, since a channel
+                // that is destroyed on this thread of gRPC destroys the queue that the thread runs.
+                call->context.reset();
                 this->idle.notify_all();
             });
     }
@@ -77,7 +80,7 @@
 
 private:
     template <typename Request, typename Reply> struct Call {
-        grpc::ClientContext context;
+        std::unique_ptr<grpc::ClientContext> context = std::make_unique<grpc::ClientContext>();
         Request request;
         Reply reply;
     };
--- a/libs/rpc/tests/RpcTest.cpp
+++ b/libs/rpc/tests/RpcTest.cpp
@@ -22,6 +22,18 @@
     return { [promise](Result<Reply> result) { promise->set_value(std::move(result)); }, std::move(future) };
 }
 
+//! Tells when the thread that set `ended` has come to its end.
+struct ThreadEnd {
+    std::shared_ptr<std::promise<void>> ended;
+    ~ThreadEnd()
+    {
+        if (this->ended)
+            this->ended->set_value();
+    }
+};
+
+thread_local ThreadEnd threadEnd;
+
 }
 
 // Guards against a reply that is given later, on another thread, and gets lost.
@@ -86,3 +98,33 @@
     CHECK(!succeeded(reply.get()));
     pending({});
 }
+
+// Guards against a call that drops the last reference to its channel on gRPC's own thread, after the client is gone:
+// the channel's queue then destroys itself under that thread. AddressSanitizer saw it as a double free.
+TEST_CASE("destroying the last client and server ends gRPC's threads")
+{
+    // How long what the callback owns lives on; without the guard, the client is destroyed meanwhile.
+    constexpr Duration releaseDelay = std::chrono::seconds(1);
+    rpc::Handlers handlers;
+    handlers.status = [](const wire::StatusRequest&, auto reply) { reply({}); };
+    auto server = rpc::Server::start("127.0.0.1:0", handlers);
+    REQUIRE(succeeded(server));
+    auto client = std::make_unique<rpc::Client>(loopback(*valueOf(server)));
+    auto ended = std::make_shared<std::promise<void>>();
+    std::promise<void> clientGone;
+    auto gone = clientGone.get_future().share();
+    auto [callback, reply] = awaitable<wire::StatusReply>();
+    {
+        std::shared_ptr<void> owned(nullptr, [gone, releaseDelay](void*) { gone.wait_for(releaseDelay); });
+        client->status({}, callLimit, [owned, ended, callback = callback](const Result<wire::StatusReply>& result) {
+            threadEnd.ended = ended;
+            callback(result);
+        });
+    }
+    CHECK(succeeded(reply.get()));
+    // The server shares gRPC's queue and would keep it alive.
+    valueOf(server).reset();
+    client.reset();
+    CHECK(ended->get_future().wait_for(Duration(0)) == std::future_status::ready);
+    clientGone.set_value();
+}
