Ask for no promises while no witness answers; no term twice after a lost majority

It now sends requests with term 0, which promise nothing, once all answers to a renewal or a whole round are missing, and goes on after the first answer.

The term now carries the new generation in its upper 32 bits.

--- a/libs/lease/include/lease/LeaseMessages.h
+++ b/libs/lease/include/lease/LeaseMessages.h
@@ -11,6 +11,9 @@
 
 namespace sequoia::lease {
 
+//! Term of a promise request that asks only for an answer; terms of candidates begin at 1.
+constexpr std::uint64_t probeTerm = 0;
+
 //! Timing of the controller lease and identity of the controller for one partition.
 struct LeaseOptions {
     std::string partition;
--- a/libs/lease/src/LeaseHolder.cpp
+++ b/libs/lease/src/LeaseHolder.cpp
@@ -65,6 +65,20 @@
 
 void LeaseMachine::State::renew(TimePoint now)
 {
+    // All answers to one renewal are missing; a round trip may take up to half an interval.
+    auto lastHeard = std::max(this->heardAt, this->holderSince);
+    bool hasMissedAnswers = now - lastHeard >= this->options.renewInterval * 3 / 2;
+    if (!this->hasOtherWitnesses())
+        this->isSilent = false;
+    else if (hasMissedAnswers && !this->isSilent) {
+        this->isSilent = true;
+        this->emit("witnesses_silent", { { "term", std::to_string(this->term) } });
+    }
+    if (this->isSilent) {
+        this->nextRenew = now + probeInterval;
+        this->sendProbes();
+        return;
+    }
     this->nextRenew = now + this->options.renewInterval;
     const auto& witnesses = this->row.record.witnesses();
     for (const auto& witness : witnesses)
@@ -79,6 +93,42 @@
         this->sendPromise(this->prospect->process);
 }
 
+bool LeaseMachine::State::hasOtherWitnesses() const
+{
+    const auto& witnesses = this->row.record.witnesses();
+    return std::any_of(witnesses.begin(), witnesses.end(),
+        [this](const wire::Process& witness) { return witness.incarnation() != this->self(); });
+}
+
+//! An answer shows that this process receives: it asks for promises again at once.
+void LeaseMachine::State::heard(TimePoint now)
+{
+    this->heardAt = now;
+    if (!this->isSilent)
+        return;
+    this->isSilent = false;
+    if (this->isHolder(now))
+        this->renew(now);
+    else if (this->role == LeaseRole::Candidate && this->phase == Phase::Waiting)
+        this->nextCandidacy = now;
+}
+
+//! Asks the other witnesses for an answer that promises nothing: each promise to a process that cannot receive
+//! would only delay the takeover by one that can.
+void LeaseMachine::State::sendProbes()
+{
+    for (const auto& witness : this->row.record.witnesses()) {
+        if (witness.incarnation() == this->self())
+            continue;
+        wire::PromiseRequest request;
+        request.set_partition(this->options.partition);
+        request.set_term(probeTerm);
+        request.set_candidate(this->self());
+        request.set_witness(witness.incarnation());
+        this->outputs.emplace_back(SendPromise { witness, std::move(request) });
+    }
+}
+
 void LeaseMachine::State::sendPromise(const wire::Process& witness)
 {
     wire::PromiseRequest request;
--- a/libs/lease/src/LeaseState.cpp
+++ b/libs/lease/src/LeaseState.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned maxRetryDoublings = 3;
 constexpr unsigned maxRoundsWithMinority = 3;
 constexpr Duration yieldJitter = 400ms;
+// Terms of one generation: at 20 rounds/s, 2^32 last for more than six years without a written row.
+constexpr unsigned generationShift = 32;
 }
 
 LeaseMachine::State::State(LeaseOptions options, RandomEngine& random)
@@ -219,6 +221,12 @@
     this->term = roundTerm;
     this->highestTerm = std::max(this->highestTerm, roundTerm);
     this->grants.clear();
+    if (this->isSilent && this->hasOtherWitnesses()) {
+        this->sendProbes();
+        this->attemptFailed(now, probeInterval);
+        return;
+    }
+    this->roundStartedAt = now;
     const auto& record = this->row.record;
     this->round.emplace(record.witnesses(), record.holder().incarnation(), askAll, now);
     this->continueRound(now);
@@ -227,6 +235,8 @@
 void LeaseMachine::State::continueRound(TimePoint now)
 {
     if (this->round->isFailed(now)) {
+        if (this->hasOtherWitnesses() && this->heardAt < this->roundStartedAt)
+            this->isSilent = true;
         this->attemptFailed(now, this->waitAfterRound());
         return;
     }
@@ -267,7 +277,9 @@
         this->gone.insert(message.witness);
     if (this->role == LeaseRole::Holder && !this->isHolder(now))
         this->loseLease(now, "expired");
-    if (message.term != this->term)
+    if (message.witness != this->self())
+        this->heard(now);
+    if (message.term != this->term || message.term == probeTerm)
         return;
     if (this->role == LeaseRole::Holder)
         this->holderAnswered(message, now);
@@ -397,10 +409,13 @@
     this->phase = Phase::Creating;
     if (this->writer.isPending())
         return;
-    this->term = ++this->highestTerm;
     auto content = this->row.record;
-    content.set_term(this->term);
     content.set_generation(content.generation() + 1);
+    // The lost witnesses may have granted terms that no row shows. Candidates count up from the row's term by ones,
+    // so that a term in the range of the new generation is above all of them.
+    this->highestTerm = std::max(this->highestTerm + 1, content.generation() << generationShift);
+    this->term = this->highestTerm;
+    content.set_term(this->term);
     content.set_lost_majority(true);
     *content.mutable_holder() = this->options.self;
     content.clear_witnesses();
--- a/libs/lease/src/LeaseState.h
+++ b/libs/lease/src/LeaseState.h
@@ -11,6 +11,9 @@
 
 namespace sequoia::lease {
 
+// Between two probes of silent witnesses; as long as the wait after a round without an answer.
+constexpr Duration probeInterval = std::chrono::milliseconds(50);
+
 //! State and transitions of LeaseMachine. Outputs collect in `outputs` until they are taken.
 class LeaseMachine::State {
 public:
@@ -87,6 +90,11 @@
     void raiseTerm(TimePoint now);
     void sendPromise(const wire::Process& witness);
 
+    // Silence: no other witness answers, so that this process may be unable to receive.
+    bool hasOtherWitnesses() const;
+    void heard(TimePoint now);
+    void sendProbes();
+
     LeaseOptions options;
     RandomEngine& random;
     LeaseOutputs outputs;
@@ -110,6 +118,11 @@
     // A witness has seen a newer record than this one, so that it is of no use without a read.
     std::uint64_t refusedVersion = 0;
     std::optional<TakeoverRound> round;
+    TimePoint roundStartedAt;
+
+    // When another process last answered, and whether promises are not asked for until one does.
+    TimePoint heardAt;
+    bool isSilent = false;
 
     GrantTable grants;
     TimePoint holderSince;
--- a/libs/lease/src/Witness.cpp
+++ b/libs/lease/src/Witness.cpp
@@ -1,6 +1,7 @@
 #include "lease/Witness.h"
 
 #include "LeaseTime.h"
+#include "lease/LeaseMessages.h"
 
 #include <algorithm>
 
@@ -43,6 +44,8 @@
         return wire::PROMISE_OUTCOME_OTHER_INCARNATION;
     if (request.generation() < this->generation)
         return wire::PROMISE_OUTCOME_OLD_GENERATION;
+    if (request.term() == probeTerm)
+        return wire::PROMISE_OUTCOME_LOWER_TERM;
     bool otherCandidate = request.candidate() != this->promisedCandidate;
     if (request.term() < this->promisedTerm || (request.term() == this->promisedTerm && otherCandidate))
         return wire::PROMISE_OUTCOME_LOWER_TERM;
--- a/libs/lease/tests/GuardTest.cpp
+++ b/libs/lease/tests/GuardTest.cpp
@@ -1,6 +1,7 @@
 #include "lease/LeaseMachine.h"
 #include "lease/Witness.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace sequoia;
@@ -140,3 +141,132 @@
     other.set_witness("w of an earlier run");
     CHECK(witness.handle(other, now + 2s).outcome() == wire::PROMISE_OUTCOME_OTHER_INCARNATION);
 }
+
+TEST_CASE("a probe is answered and promises nothing, also by a witness without a promise")
+{
+    Witness witness("w", 800ms, 0.001);
+    TimePoint now { 100s };
+    CHECK(witness.handle(request("a", probeTerm, 1), now).outcome() == wire::PROMISE_OUTCOME_LOWER_TERM);
+    CHECK(witness.handle(request("b", 1, 1), now).outcome() == wire::PROMISE_OUTCOME_GRANTED);
+}
+
+namespace {
+
+//! A machine "a" that has taken the lease over from "x", by promises of itself and of "b" out of a, b and c.
+struct TakenOver {
+    RandomEngine random { 1 };
+    TimePoint now { 100s };
+    LeaseMachine machine { CreatedRow::options(), this->random };
+    std::uint64_t term = 0;
+
+    //! Of the lost holder "x".
+    static VersionedRecord row()
+    {
+        VersionedRecord row;
+        row.version = 1;
+        row.record.set_term(1);
+        row.record.set_generation(1);
+        *row.record.mutable_holder() = processNamed("x");
+        for (const char* name : { "a", "b", "c" })
+            *row.record.add_witnesses() = processNamed(name);
+        return row;
+    }
+
+    TakenOver()
+    {
+        this->machine.onRecordCached(row(), this->now);
+        this->now += 1s;
+        this->machine.onTick(this->now);
+        this->machine.onRecordRead(RecordRead { row() }, this->now);
+        this->term = this->machine.term();
+        this->answer("a", this->term, wire::PROMISE_OUTCOME_GRANTED);
+        this->answer("b", this->term, wire::PROMISE_OUTCOME_GRANTED);
+    }
+
+    LeaseOutputs answer(const std::string& witness, std::uint64_t requestTerm, wire::PromiseOutcome outcome)
+    {
+        PromiseAnswered answer;
+        answer.reply.set_outcome(outcome);
+        answer.witness = witness;
+        answer.sentAt = this->now;
+        answer.term = requestTerm;
+        answer.generation = 1;
+        answer.recordVersion = 1;
+        return this->machine.onPromiseAnswered(answer, this->now);
+    }
+
+    //! Lets time pass in ticks, in which only "a" itself answers, and gives the terms of the requests to the others.
+    std::vector<std::uint64_t> passWithoutAnswers(Duration length)
+    {
+        std::vector<std::uint64_t> terms;
+        for (auto end = this->now + length; this->now < end; this->now += 10ms) {
+            for (const auto& output : this->machine.onTick(this->now)) {
+                const auto* sent = std::get_if<SendPromise>(&output);
+                if (sent && sent->witness.incarnation() != "a")
+                    terms.push_back(sent->request.term());
+                else if (sent)
+                    this->answer("a", sent->request.term(), wire::PROMISE_OUTCOME_GRANTED);
+            }
+        }
+        return terms;
+    }
+};
+
+std::size_t countOf(const std::vector<std::uint64_t>& terms, bool isProbe)
+{
+    return static_cast<std::size_t>(
+        std::count_if(terms.begin(), terms.end(), [&](auto term) { return (term == probeTerm) == isProbe; }));
+}
+
+}
+
+// Guards against a holder that can send but not receive and extends the promises that delay its successor.
+TEST_CASE("a holder that no other witness answers sends probes, and renews again once one answers")
+{
+    TakenOver holder;
+    REQUIRE(holder.machine.isHolder(holder.now));
+    CHECK(countOf(holder.passWithoutAnswers(350ms), true) == 0);
+    auto silent = holder.passWithoutAnswers(300ms);
+    CHECK(countOf(silent, true) > 0);
+    CHECK(countOf(silent, false) == 0);
+    REQUIRE(holder.machine.isHolder(holder.now));
+    auto outputs = holder.answer("b", probeTerm, wire::PROMISE_OUTCOME_LOWER_TERM);
+    CHECK(std::any_of(outputs.begin(), outputs.end(), [&](const LeaseOutput& output) {
+        const auto* sent = std::get_if<SendPromise>(&output);
+        return sent && sent->request.term() == holder.term;
+    }));
+}
+
+// Guards against the same process asking for ever higher terms as a candidate, after its lease has ended.
+TEST_CASE("a candidate that no other witness answered asks for promises only after an answer")
+{
+    TakenOver candidate;
+    candidate.passWithoutAnswers(900ms);
+    REQUIRE(!candidate.machine.isHolder(candidate.now));
+    auto silent = candidate.passWithoutAnswers(3s);
+    CHECK(countOf(silent, true) > 0);
+    CHECK(countOf(silent, false) == 0);
+    candidate.answer("c", probeTerm, wire::PROMISE_OUTCOME_LOWER_TERM);
+    CHECK(countOf(candidate.passWithoutAnswers(500ms), false) > 0);
+}
+
+// Guards against a term that is used twice: a holder that took over while the store was down leaves no row with its
+// term, and the witnesses that granted it are gone.
+TEST_CASE("after a lost majority the term is above every term that the lost witnesses can have granted")
+{
+    constexpr std::uint64_t unrecordedRounds = 1'000'000;
+    RandomEngine random { 1 };
+    LeaseMachine machine(CreatedRow::options(), random);
+    TimePoint now { 100s };
+    machine.onRecordCached(TakenOver::row(), now);
+    machine.setGone({ "b", "c" });
+    const WriteRecord* write = nullptr;
+    LeaseOutputs outputs;
+    for (auto end = now + 10s; !write && now < end; now += 10ms) {
+        outputs = machine.onTick(now);
+        write = writeIn(outputs);
+    }
+    REQUIRE(write);
+    CHECK(write->record.lost_majority());
+    CHECK(write->record.term() > TakenOver::row().record.term() + unrecordedRounds);
+}
--- a/libs/ownership/tests/FaultMatrixTest.cpp
+++ b/libs/ownership/tests/FaultMatrixTest.cpp
@@ -301,8 +301,8 @@
     MESSAGE(figures.describe());
 }
 
-// Guards against the same fault keeping slices unserved for longer than the loss of a holder would. See KNOWN-RED.txt.
-TEST_CASE("a holder that cannot receive, at every step: times" * doctest::should_fail())
+// Guards against the same fault keeping slices unserved for longer than the loss of a holder would.
+TEST_CASE("a holder that cannot receive, at every step: times")
 {
     runMatrix([](const Fault& fault) { return fault.name == receivingCut; }, true, cutStride);
 }
--- a/libs/ownership/tests/Simulation.cpp
+++ b/libs/ownership/tests/Simulation.cpp
@@ -359,7 +359,10 @@
         return;
     auto key = [](const wire::RouteTable& table) { return std::pair(table.term(), table.version()); };
     if (key(output.table) <= key(this->newestRoutes))
-        this->fail("route table does not follow the one before it");
+        this->fail("route table does not follow the one before it " + controller.name + " "
+            + std::to_string(output.table.term()) + "/" + std::to_string(output.table.version()) + " after "
+            + this->newestRoutes.holder().address() + " " + std::to_string(this->newestRoutes.term()) + "/"
+            + std::to_string(this->newestRoutes.version()));
     this->newestRoutes = output.table;
     this->step(Step::RoutesPublished);
 }
