Refuse messages with a transfer coding other than chunked, or with two framings

Cause: Beast ignores a Transfer-Encoding that it does not know and takes the Content-Length, and it accepts "gzip, chunked". The field is not forwarded, so that a request was read by another length than a strict receiver would use, or lost a coding that its receiver has to undo.

Ruled out there: repeated equal lengths (RFC 9112, 6.3, allows them; one length is written out) and faults that are found earlier in one division of the bytes than in another (no incomplete message is passed on as complete).

--- a/libs/http/src/MessageParser.cpp
+++ b/libs/http/src/MessageParser.cpp
@@ -47,8 +47,17 @@
         this->head.headers.add({ name.data(), name.size() }, { value.data(), value.size() });
     }
 
-    void on_header_impl(beast::error_code&) override
+    void on_header_impl(beast::error_code& error) override
     {
+        // Beast ignores codings that it does not know. The field is not forwarded, so that the body would be read by
+        // another length or lose a coding that its receiver has to undo.
+        const auto* coding = this->head.headers.find("Transfer-Encoding");
+        bool isOnlyChunked = coding && equalsIgnoringCase(*coding, "chunked")
+            && this->head.headers.count("Transfer-Encoding") == 1 && !this->head.headers.find("Content-Length");
+        if (coding && !isOnlyChunked) {
+            error = beast::http::error::bad_transfer_encoding;
+            return;
+        }
         this->head.keepAlive = this->keep_alive();
         auto length = this->content_length();
         if (this->chunked())
--- a/libs/http/tests/MessageParserTest.cpp
+++ b/libs/http/tests/MessageParserTest.cpp
@@ -1,5 +1,7 @@
 #include "http/MessageParser.h"
+#include "core/Random.h"
 
+#include <array>
 #include <doctest/doctest.h>
 
 using namespace sequoia;
@@ -78,6 +80,9 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk",
         "HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nok",
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: gzip\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "HTTP/1.1 2000 OK\r\n\r\n",
         "HTTP/1.1 200 OK\r\nBad Name: x\r\n\r\n",
         "garbage\r\n\r\n",
@@ -120,3 +125,86 @@
     CHECK_FALSE(isHeaderSafe("a\r\nb"));
     CHECK(isHeaderSafe("a\tb"));
 }
+
+namespace {
+
+const std::array<std::string, 5> fuzzSeeds {
+    "POST /a?b=c HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;e=1\r\nhello\r\n0\r\nT: v\r\n\r\n",
+    "PUT /u HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nConnection: close, X-A\r\nX-A: 1\r\n\r\nhello",
+    "GET / HTTP/1.0\r\nHost: x\r\nCookie: a=b; c=d\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 11\r\nX-Request-Id: r\r\n\r\nhello world",
+    "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\nRetry-After: 1\r\n\r\n1\r\na\r\nA\r\n0123456789\r\n0\r\n\r\n",
+};
+
+// Pieces on which parsers of HTTP disagree: bare line ends, repeated and odd lengths, white space, control characters.
+const std::array<std::string, 18> fuzzTokens { "\r", "\n", "\r\n", "\r\n\r\n", " ", "\t", ":", ";",
+    std::string(1, '\0'), "Content-Length: 3\r\n", "Content-Length: 5, 5\r\n", "Content-Length: +5\r\n",
+    "Transfer-Encoding: chunked\r\n", "Transfer-Encoding : chunked\r\n", "transfer-encoding: identity\r\n",
+    "ffffffffffffffff", "0x5", "\xff" };
+
+std::string mutatedMessage(std::string text, RandomEngine& random)
+{
+    auto below = [&](std::size_t bound) { return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random); };
+    for (auto rounds = 1 + below(3); rounds > 0 && !text.empty(); --rounds) {
+        auto at = below(text.size());
+        switch (below(4)) {
+        case 0:
+            text[at] = static_cast<char>(below(256));
+            break;
+        case 1:
+            text.erase(at, 1 + below(8));
+            break;
+        case 2:
+            text.insert(at, fuzzTokens[below(fuzzTokens.size())]);
+            break;
+        default:
+            text.insert(text.find('\n', at) == std::string::npos ? 0 : text.find('\n', at) + 1,
+                fuzzTokens[below(fuzzTokens.size())]);
+        }
+    }
+    return text;
+}
+
+}
+
+// Guards against smuggling: a message whose end depends on how its bytes arrive, that has two lengths, or whose header
+// can be written out as another one.
+TEST_CASE("a mutated message is refused, or read the same way in any division and with one length")
+{
+    constexpr int mutants = 40'000;
+    RandomEngine random(1);
+    int validCount = 0;
+    for (int index = 0; index < mutants; ++index) {
+        const auto& seed = fuzzSeeds[static_cast<std::size_t>(index) % fuzzSeeds.size()];
+        auto type = seed.starts_with("HTTP/") ? MessageType::Response : MessageType::Request;
+        auto text = mutatedMessage(seed, random);
+        CAPTURE(text);
+        auto whole = parse(type, text, text.size() + 1, true);
+        auto bytewise = parse(type, text, 1, true);
+        // A fault may be found later in one division than in the other; only a complete message is passed on as such.
+        bool isWhole = whole.valid && whole.complete;
+        REQUIRE(isWhole == (bytewise.valid && bytewise.complete));
+        if (!isWhole)
+            continue;
+        ++validCount;
+        REQUIRE(whole.body == bytewise.body);
+        REQUIRE(whole.consumed == bytewise.consumed);
+        REQUIRE(whole.head.target == bytewise.head.target);
+        REQUIRE(whole.head.framing == bytewise.head.framing);
+        const auto& headers = whole.head.headers;
+        // Repeated equal lengths are one length (RFC 9112, 6.3), which is written out once.
+        bool hasTwoFramings = headers.find("Content-Length") && headers.find("Transfer-Encoding");
+        REQUIRE(!hasTwoFramings);
+        if (whole.head.framing == Framing::Length)
+            REQUIRE(whole.body.size() == whole.head.length);
+        if (type == MessageType::Request)
+            REQUIRE(whole.head.framing != Framing::UntilClose);
+        for (const auto& header : headers.all()) {
+            REQUIRE(isHeaderSafe(header.name));
+            REQUIRE(header.name.find_first_of(" :\t") == std::string::npos);
+            REQUIRE(header.value.find_first_of(std::string("\r\n\0", 3)) == std::string::npos);
+        }
+    }
+    CHECK(validCount > 0);
+    CHECK(validCount < mutants);
+}
