Count the hold of an unanswered grant from when it was given up, and reset its connection

Cause: a grant was taken to arrive at most 0.4 s after it was sent, but its sender keeps the connection for 0.7 s, and an ordinary close leaves the kernel sending what is written, for minutes when the network is cut.

Conclusion: an answer that comes late, or none, extends the hold to what an arrival at that moment would give. Grants that are answered within 0.4 s are as before.

--- a/libs/client/include/client/ClientConnection.h
+++ b/libs/client/include/client/ClientConnection.h
@@ -56,6 +56,8 @@
     void finishRequest() { this->requestComplete = true; }
     //! Ends the exchange without a callback and closes the connection.
     void abort();
+    //! As abort(); bytes that the server has not received yet are discarded.
+    void reset();
     void setReading(bool enabled) { this->stream.setReading(enabled); }
     std::size_t unsentBytes() const { return this->stream.unsentBytes(); }
     bool isConnected() const { return this->stream.isConnected(); }
--- a/libs/client/src/CallClient.cpp
+++ b/libs/client/src/CallClient.cpp
@@ -62,8 +62,9 @@
     void expire()
     {
         bool wasSent = this->sent;
+        // The caller counts on a call that was given up not arriving later.
         if (this->connection)
-            this->connection->abort();
+            this->connection->reset();
         this->connection = nullptr;
         this->client.finish(
             *this, wasSent ? this->unknown("no answer in time") : this->unavailable("no connection in time"));
--- a/libs/client/src/ClientConnection.cpp
+++ b/libs/client/src/ClientConnection.cpp
@@ -73,6 +73,12 @@
     this->owner.onIdle(*this, false);
 }
 
+void ClientConnection::reset()
+{
+    this->stream.reset();
+    this->abort();
+}
+
 void ClientConnection::onConnected()
 {
     if (this->observer)
--- a/libs/keyspace/include/keyspace/GrantKeeper.h
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -36,7 +36,8 @@
     Accepted,
     HigherFenceSeen,
     NotSent, //!< No connection; the server has not received the order.
-    Unknown, //!< It may be carried out, also later.
+    //! It may be carried out, also later. It does not arrive any more after this answer.
+    Unknown,
 };
 
 struct OrderAnswer {
@@ -138,7 +139,9 @@
     void grantAnswered(std::size_t index, const OrderAnswer& answer, TimePoint now);
     void setOutstanding(RangeState& state, const Order& order, TimePoint now);
     void releaseAnswered(std::size_t index, const OrderAnswer& answer);
+    Duration longestHold() const;
     TimePoint holdEnd(TimePoint sent) const;
+    void extendHold(RangeState& state, OrderResult result, TimePoint now) const;
 
     KeyPlan current;
     std::vector<RangeState> states; //!< of current.ranges, by index
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -63,10 +63,15 @@
     return found != this->servers.end() && found->second.life.bornMillis > life.bornMillis;
 }
 
-TimePoint GrantKeeper::holdEnd(TimePoint sent) const
+Duration GrantKeeper::longestHold() const
 {
     double hold = static_cast<double>(this->terms.holdTime.count()) * (1 + this->terms.clockRateBound);
-    return sent + Duration(static_cast<std::int64_t>(hold)) + this->terms.deliverySlack;
+    return Duration(static_cast<std::int64_t>(hold));
+}
+
+TimePoint GrantKeeper::holdEnd(TimePoint sent) const
+{
+    return sent + this->longestHold() + this->terms.deliverySlack;
 }
 
 GrantKeeper::Outputs GrantKeeper::tick(const KeyLoad& load, TimePoint now)
@@ -385,6 +390,8 @@
         if (state.outstanding != order)
             continue;
         state.outstanding = 0;
+        if (state.outstandingType == OrderType::Grant)
+            this->extendHold(state, answer.result, now);
         if (answer.result == OrderResult::HigherFenceSeen) {
             this->superseded = true;
             return;
@@ -397,6 +404,15 @@
     }
 }
 
+// A grant that was answered late, or given up, may have arrived at any time until now, and its hold counts from then.
+void GrantKeeper::extendHold(RangeState& state, OrderResult result, TimePoint now) const
+{
+    if (result != OrderResult::Accepted && result != OrderResult::Unknown)
+        return;
+    auto& heldUntil = state.stage == Stage::Granting ? state.successorHeldUntil : state.heldUntil;
+    heldUntil = std::max(heldUntil, now + this->longestHold());
+}
+
 void GrantKeeper::releaseAnswered(std::size_t index, const OrderAnswer& answer)
 {
     auto& state = this->states[index];
--- a/libs/keyspace/tests/GrantKeeperTest.cpp
+++ b/libs/keyspace/tests/GrantKeeperTest.cpp
@@ -51,6 +51,11 @@
     return capacities;
 }
 
+double toSeconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
 //! A keeper with its own store and servers that answer at once, for single steps.
 class StepByStep {
 public:
@@ -203,6 +208,40 @@
     CHECK(*moved <= lastConfirmed + terms.holdTime + std::chrono::seconds(2));
 }
 
+// Guards against two owners after a renewal that stayed on its way until it was given up, longer than the usual
+// delivery: the server may have got it at that moment, and holds the keys from then on.
+TEST_CASE("the hold of a renewal that was given up counts from the time it was given up")
+{
+    constexpr Duration giveUp = std::chrono::milliseconds(700);
+    StepByStep steps(servers({ "a", "b" }));
+    steps.accept(steps.tick(std::chrono::milliseconds(10)));
+    std::vector<std::pair<TimePoint, Order>> open;
+    TimePoint lastGivenUp;
+    std::optional<TimePoint> moved;
+    for (int i = 0; i < 1000 && !moved; ++i) {
+        for (const auto& order : steps.tick(std::chrono::milliseconds(10))) {
+            if (order.server.id == "a") {
+                open.emplace_back(steps.now, order);
+                continue;
+            }
+            if (order.fence > 2)
+                moved = steps.now;
+            steps.accept({ order });
+        }
+        while (!open.empty() && steps.now - open.front().first >= giveUp) {
+            const auto& order = open.front().second;
+            if (order.type == OrderType::Grant)
+                lastGivenUp = steps.now;
+            steps.keeper.answered(order.id, { OrderResult::Unknown, {} }, steps.now);
+            open.erase(open.begin());
+        }
+    }
+    REQUIRE(moved);
+    GrantTerms terms;
+    REQUIRE(lastGivenUp > TimePoint());
+    CHECK(toSeconds(*moved - lastGivenUp) >= toSeconds(terms.holdTime) * (1 + terms.clockRateBound));
+}
+
 // Guards against a server that restarted under its id and is taken for the owner that it was.
 TEST_CASE("a server that started anew gives up what it may hold and gets its keys under a new fence at once")
 {
--- a/libs/net/include/net/TcpStream.h
+++ b/libs/net/include/net/TcpStream.h
@@ -60,6 +60,8 @@
     //! Sends what is written, then the end of the stream.
     void finishWriting();
     void close();
+    //! Closes and discards what the kernel has not delivered yet; the peer sees a reset.
+    void reset();
 
 private:
     void onIo(std::uint32_t events) override;
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -126,6 +126,17 @@
     this->descriptor = -1;
 }
 
+void TcpStream::reset()
+{
+    if (!this->isOpen())
+        return;
+    // After an ordinary close the kernel goes on sending what is written, for minutes where the network is cut.
+    const linger discard { 1, 0 };
+    [[maybe_unused]] int status = setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+    assert(status == 0); // It cannot fail for a TCP socket.
+    this->close();
+}
+
 void TcpStream::onIo(std::uint32_t events)
 {
     if (this->connecting) {
