Give no further keys to a server that has not answered its last order

Cause: a lost server is listed until its entry lapses, some 4 s. Once its keys are promised to others it looks idle, and the rebalancer and the replacement of owners gave it the keys of living servers.

Load pattern: a busy server is lost while the load is uneven.

--- a/libs/keyspace/include/keyspace/GrantKeeper.h
+++ b/libs/keyspace/include/keyspace/GrantKeeper.h
@@ -124,6 +124,9 @@
     bool isReady(const fleet::ServerLife& life) const;
     bool lifeIsOver(const fleet::ServerLife& life) const;
     const char* replacementReason(std::size_t index, TimePoint now) const;
+    //! Whether the server left its last order unanswered, a short time ago.
+    bool isSilent(const fleet::ServerLife& server, TimePoint now) const;
+    void noteAnswer(std::size_t index, OrderResult result, TimePoint now);
     void announceReplacements(const KeyLoad& load, TimePoint now, Outputs& outputs);
     void announceMoves(const KeyLoad& load, TimePoint now, Outputs& outputs);
     void applyMove(const Move& move, const char* reason, Outputs& outputs);
@@ -148,6 +151,7 @@
     GrantTerms terms;
     fleet::ServerMap servers;
     std::map<fleet::ServerLife, std::string> addresses; //!< also of servers that left the list
+    std::map<fleet::ServerLife, TimePoint> unansweredAt; //!< servers whose last order was not accepted
     Capacities capacities;
     std::optional<std::uint64_t> writing; //!< sequence of the write that is not confirmed
     bool adopted = false;
--- a/libs/keyspace/src/GrantKeeper.cpp
+++ b/libs/keyspace/src/GrantKeeper.cpp
@@ -15,6 +15,9 @@
 constexpr unsigned unansweredToStop = 2;
 // Unanswered grants in a row after which keys go to another server than planned.
 constexpr unsigned unansweredToReplace = 5;
+// A server that did not answer its last order gets no further keys for this time; its entry lapses about then, if it is
+// lost, and one that only the coordinator does not reach is tried again.
+constexpr Duration silentPause = std::chrono::seconds(5);
 // Senders of orders give them up before this; a margin for an answer that never comes.
 constexpr Duration orderLimit = std::chrono::seconds(4);
 
@@ -154,22 +157,41 @@
         if (this->isReady(server))
             usable[server] = capacity;
     }
-    // A silent owner must not get its own keys back at once.
-    for (std::size_t i = 0; i < needsOwner.size(); ++i) {
-        const auto& range = this->current.ranges[i];
-        if (needsOwner[i] && this->states[i].unanswered >= unansweredToStop && usable.size() > 1)
-            usable.erase(range.successor ? range.successor->server : range.owner);
+    // Keys wait long for a server that does not answer; with all silent, one has to be tried.
+    for (const auto& [server, at] : this->unansweredAt) {
+        if (usable.size() > 1 && this->isSilent(server, now))
+            usable.erase(server);
     }
     auto copy = this->current;
     for (const auto& move : assignUnowned(copy, needsOwner, load, usable))
         this->applyMove(move, reasons[copy.find(move.keys.first)], outputs);
 }
 
+bool GrantKeeper::isSilent(const fleet::ServerLife& server, TimePoint now) const
+{
+    auto found = this->unansweredAt.find(server);
+    return found != this->unansweredAt.end() && now - found->second < silentPause;
+}
+
+//! Remembers whether the server of the range's outstanding order answered it.
+void GrantKeeper::noteAnswer(std::size_t index, OrderResult result, TimePoint now)
+{
+    const auto& range = this->current.ranges[index];
+    const auto& state = this->states[index];
+    bool isSuccessors = state.outstandingType == OrderType::Grant && state.stage == Stage::Granting && range.successor;
+    const auto& server = isSuccessors ? range.successor->server : range.owner;
+    if (result == OrderResult::Accepted)
+        this->unansweredAt.erase(server);
+    else
+        this->unansweredAt[server] = now;
+}
+
 void GrantKeeper::announceMoves(const KeyLoad& load, TimePoint now, Outputs& outputs)
 {
     Capacities usable;
+    // A server that was lost a moment ago is still listed, and looks idle once its keys are promised to others.
     for (const auto& [server, capacity] : this->capacities) {
-        if (this->isReady(server))
+        if (this->isReady(server) && !this->isSilent(server, now))
             usable[server] = capacity;
     }
     for (const auto& move : rebalance(this->current, load, usable)) {
@@ -283,6 +305,7 @@
     if (state.outstanding != 0 && now - state.orderSent > orderLimit) {
         state.outstanding = 0;
         ++state.unanswered;
+        this->noteAnswer(index, OrderResult::Unknown, now);
     }
     switch (state.stage) {
     case Stage::Announced:
@@ -390,6 +413,7 @@
         if (state.outstanding != order)
             continue;
         state.outstanding = 0;
+        this->noteAnswer(i, answer.result, now);
         if (state.outstandingType == OrderType::Grant)
             this->extendHold(state, answer.result, now);
         if (answer.result == OrderResult::HigherFenceSeen) {
--- a/libs/keyspace/tests/GrantKeeperTest.cpp
+++ b/libs/keyspace/tests/GrantKeeperTest.cpp
@@ -75,6 +75,7 @@
     {
         this->now += time;
         auto outputs = this->keeper.tick(this->load, this->now);
+        std::move(outputs.events.begin(), outputs.events.end(), std::back_inserter(this->events));
         if (outputs.write) {
             this->keeper.written(outputs.write->sequence, this->now);
             this->writes.push_back(*outputs.write);
@@ -94,6 +95,7 @@
     KeyLoad load;
     GrantKeeper keeper;
     std::vector<KeyPlan> writes;
+    std::vector<KeyEvent> events;
 };
 
 }
@@ -208,6 +210,34 @@
     CHECK(*moved <= lastConfirmed + terms.holdTime + std::chrono::seconds(2));
 }
 
+// Guards against keys that go to a server which was lost a moment ago: it is still listed, looks idle once its keys are
+// promised to others, and is given up only after several grants.
+TEST_CASE("while the load is uneven, no keys go to a server that has stopped answering")
+{
+    constexpr int lostAt = 500; // steps of 10 ms
+    constexpr int knownAt = lostAt + 150; // a renewal and its repetition
+    constexpr int lapsesAt = lostAt + 400;
+    StepByStep steps(servers({ "a", "b", "c" }));
+    steps.accept(steps.tick(std::chrono::milliseconds(10)));
+    for (int i = 0; i < lapsesAt; ++i) {
+        // "a" gets most of the requests, so that its keys are promised to the others.
+        steps.load.note(static_cast<fleet::Key>(i % 5 == 0 ? 65000 : 97 * (i % 220)));
+        if (i % 10 == 0)
+            steps.load.advance(steps.now);
+        steps.events.clear();
+        for (const auto& order : steps.tick(std::chrono::milliseconds(10))) {
+            bool isAnswered = i < lostAt || order.server.id != "a";
+            steps.keeper.answered(
+                order.id, { isAnswered ? OrderResult::Accepted : OrderResult::NotSent, {} }, steps.now);
+        }
+        for (const auto& event : steps.events) {
+            CAPTURE(i);
+            bool goesToLost = i >= knownAt && event.to == "a";
+            REQUIRE(!goesToLost);
+        }
+    }
+}
+
 // Guards against two owners after a renewal that stayed on its way until it was given up, longer than the usual
 // delivery: the server may have got it at that moment, and holds the keys from then on.
 TEST_CASE("the hold of a renewal that was given up counts from the time it was given up")
