--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -42,6 +42,8 @@
     void setSlotShare(double share) { this->slotShare = share; }
     //! Replaces the known backend servers; servers that are missing from the map are removed.
     void setServers(const fleet::ServerMap& servers, TimePoint now);
+    //! Places no job of the host on the server until the given time, as the server asked.
+    void pauseServer(const std::string& server, std::uint64_t host, TimePoint until);
     //! Sets the number of jobs of other hosts by server, where hosts decide independently.
     void setOtherHostsInFlight(const std::map<std::string, unsigned>& counts);
 
@@ -81,6 +83,10 @@
     void dispatchQueue(Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
     void dispatch(Pool& pool, TimePoint now, std::vector<SchedulingDecision>& decisions);
     std::optional<std::string> chooseServer(const Pool& pool, const Job& job, TimePoint now) const;
+    //! Time from which a server may get a job of this host, apart from its slots.
+    TimePoint earliestUse(const Pool& pool, const std::string& queue, const Job& job, TimePoint now) const;
+    //! Whether a server that could run the job has asked its host for a pause.
+    bool isHeldByPause(const Pool& pool, const std::string& queue, const Job& job, TimePoint now) const;
     double capacity(Pool& pool, const std::string& queue, TimePoint now) const;
     std::optional<JobRefusal> admissionRefusal(Pool& pool, const Job& job, TimePoint now);
     std::optional<JobRefusal> waitRefusal(
@@ -96,6 +102,7 @@
     std::unordered_map<JobId, Placement, JobIdHash> placements;
     std::unordered_map<JobId, std::string, JobIdHash> waiting; //!< service by job
     TimePoint lastDeadlineCheck {};
+    TimePoint lastPauseEnd {}; //!< of all pauses that servers have asked for
     double slotShare = 1;
 };
 
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -30,6 +30,10 @@
     //! that may be used.
     bool hasFreeSlot(unsigned extra, double share, TimePoint now) const;
     bool isUsable(TimePoint now) const;
+    //! Records that the server wants no job from a host until a time.
+    void pauseFor(std::uint64_t host, TimePoint until);
+    //! End of the pause that the server asked a host for; in the past if there is none.
+    TimePoint pausedUntil(std::uint64_t host) const;
     TimePoint usableAt() const { return this->suspendedUntil; }
 
     //! Expected service time of a job relative to the average of the service; above 1 is slower.
@@ -62,6 +66,7 @@
     TimePoint suspendedUntil {};
     TimePoint lastSample {};
     std::map<std::uint64_t, TimePoint> lastUse; //!< by host
+    std::map<std::uint64_t, TimePoint> pauses; //!< by host
     //! Cached result of slowness(), which is called for every server at each placement.
     mutable TimePoint slownessTime {};
     mutable double slownessValue = 1;
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -144,6 +144,15 @@
     }
 }
 
+void Scheduler::pauseServer(const std::string& server, std::uint64_t host, TimePoint until)
+{
+    auto found = this->loads.find(server);
+    if (found == this->loads.end())
+        return;
+    found->second.pauseFor(host, until);
+    this->lastPauseEnd = std::max(this->lastPauseEnd, until);
+}
+
 std::string Scheduler::queueNameOf(const Job& job) const
 {
     if (!job.key)
@@ -349,13 +358,13 @@
                 server = this->chooseServer(pool, job, now);
             else if (!name.empty()) {
                 auto load = this->loads.find(name);
-                if (load != this->loads.end() && load->second.hasFreeSlot(extraJobsKeyed, this->slotShare, now))
+                if (load != this->loads.end() && load->second.hasFreeSlot(extraJobsKeyed, this->slotShare, now)
+                    && now >= load->second.pausedUntil(job.id.host))
                     server = name;
             }
             if (!server) {
-                // A job that has tried no server yet may go to any of them, so without a slot for it there is seldom
-                // one for the rest.
-                if (job.tried.empty())
+                // A job that may go to any server finds no slot, so there is seldom one for the rest.
+                if (job.tried.empty() && !this->isHeldByPause(pool, name, job, now))
                     break;
                 ++entry;
                 continue;
@@ -376,6 +385,8 @@
         const auto& load = *member;
         if (!load.hasFreeSlot(extraJobsUnkeyed, this->slotShare, now))
             continue;
+        if (now < load.pausedUntil(job.id.host))
+            continue;
         const auto& id = load.entry().instance.id;
         if (std::find(job.tried.begin(), job.tried.end(), id) != job.tried.end())
             continue;
@@ -400,6 +411,33 @@
     return best ? std::optional(best->entry().instance.id) : std::nullopt;
 }
 
+bool Scheduler::isHeldByPause(const Pool& pool, const std::string& name, const Job& job, TimePoint now) const
+{
+    if (now >= this->lastPauseEnd)
+        return false;
+    return std::any_of(pool.members.begin(), pool.members.end(), [&](const ServerLoad* load) {
+        return (!pool.keyed || load->entry().instance.id == name) && now < load->pausedUntil(job.id.host);
+    });
+}
+
+TimePoint Scheduler::earliestUse(const Pool& pool, const std::string& name, const Job& job, TimePoint now) const
+{
+    if (now >= this->lastPauseEnd)
+        return now;
+    if (pool.keyed) {
+        auto load = this->loads.find(name);
+        return load == this->loads.end() ? now : std::max(now, load->second.pausedUntil(job.id.host));
+    }
+    std::optional<TimePoint> earliest;
+    for (const auto* load : pool.members) {
+        if (load->entry().state != fleet::ServerState::Ready)
+            continue;
+        auto usable = std::max(now, load->pausedUntil(job.id.host));
+        earliest = earliest ? std::min(*earliest, usable) : usable;
+    }
+    return earliest.value_or(now);
+}
+
 double Scheduler::capacity(Pool& pool, const std::string& name, TimePoint now) const
 {
     auto jobsPerAverageTime = [&](const ServerLoad& load) {
@@ -436,6 +474,8 @@
         waitMicros = averageMicros;
     else
         waitMicros = averageMicros * static_cast<double>(ahead + 1) / slots;
+    auto pause = this->earliestUse(pool, name, job, now) - now;
+    waitMicros = std::max(waitMicros, static_cast<double>(pause.count()));
     auto finish = now + Duration(static_cast<std::int64_t>(waitMicros + serviceMicros * minRemainingServiceTimes));
     if (finish <= job.deadline)
         return std::nullopt;
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -133,6 +133,18 @@
     return this->serverEntry.state == fleet::ServerState::Ready && now >= this->suspendedUntil;
 }
 
+void ServerLoad::pauseFor(std::uint64_t host, TimePoint until)
+{
+    auto& end = this->pauses[host];
+    end = std::max(end, until);
+}
+
+TimePoint ServerLoad::pausedUntil(std::uint64_t host) const
+{
+    auto found = this->pauses.find(host);
+    return found == this->pauses.end() ? TimePoint() : found->second;
+}
+
 bool ServerLoad::hasFreeSlot(unsigned extra, double share, TimePoint now) const
 {
     auto maxJobs = std::max(1.0, std::ceil((this->serverEntry.slots + extra) * share));
--- a/libs/balance/tests/SchedulerTest.cpp
+++ b/libs/balance/tests/SchedulerTest.cpp
@@ -468,3 +468,78 @@
     // About a third of the time until the deadline is left, so that the caller can retry.
     CHECK(longestWaitBeforeRefusal < std::chrono::milliseconds(1700));
 }
+
+// Guards against requests that reach a server within the time for which it asked this host for a pause.
+TEST_CASE("a server that asked a host for a pause gets no job of that host, and jobs of others")
+{
+    TestScheduler test(1);
+    test.scheduler.pauseServer("s0", 1, test.now + std::chrono::milliseconds(800));
+    CHECK(test.submit(test.job()).empty());
+    auto other = test.job();
+    other.id.host = 2;
+    CHECK(serverOf(test.submit(other)) == "s0");
+    test.now += std::chrono::milliseconds(799);
+    CHECK(test.scheduler.tick(test.now).empty());
+    test.now += std::chrono::milliseconds(1);
+    CHECK(serverOf(test.scheduler.tick(test.now)) == "s0");
+}
+
+TEST_CASE("a paused server is passed over while another one is free")
+{
+    TestScheduler test(2);
+    test.scheduler.pauseServer("s0", 1, test.now + std::chrono::seconds(5));
+    CHECK(serverOf(test.submit(test.job())) == "s1");
+    CHECK(serverOf(test.submit(test.job())) == "s1");
+    CHECK(test.submit(test.job()).empty());
+}
+
+// Guards against jobs that wait behind one whose host may not use the free server.
+TEST_CASE("a job that a pause holds back does not block the jobs of other hosts behind it")
+{
+    TestScheduler test(1);
+    std::vector<Job> running;
+    for (int i = 0; i < 2; ++i) {
+        running.push_back(test.job());
+        test.submit(running.back());
+    }
+    auto held = test.job(std::chrono::milliseconds(300));
+    CHECK(test.submit(held).empty());
+    auto behind = test.job(std::chrono::milliseconds(400));
+    behind.id.host = 2;
+    CHECK(test.submit(behind).empty());
+    test.scheduler.pauseServer("s0", 1, test.now + std::chrono::seconds(1));
+    auto decisions = test.endJob(running[0].id);
+    REQUIRE(decisions.size() == 1);
+    CHECK(std::get<JobPlacement>(decisions[0]).job == behind.id);
+}
+
+TEST_CASE("a job whose only server is paused past its deadline is refused at once with the time of the pause")
+{
+    for (bool keyed : { false, true }) {
+        CAPTURE(keyed);
+        TestScheduler test(1);
+        test.owners.defaultOwner = { Ownership::Owned, "s0" };
+        auto job = test.job();
+        if (keyed)
+            job.key = 7;
+        test.scheduler.pauseServer("s0", 1, test.now + std::chrono::seconds(30));
+        auto decisions = test.submit(job);
+        REQUIRE(decisions.size() == 1);
+        REQUIRE(std::holds_alternative<JobRefusal>(decisions[0]));
+        // A caller waits a third of its time at most.
+        CHECK(std::get<JobRefusal>(decisions[0]).retryAfter == std::chrono::microseconds(2'500'000 / 3));
+    }
+}
+
+TEST_CASE("the owner of a key gets a waiting job when its pause ends, and a new run of a server has no pause")
+{
+    TestScheduler test(1);
+    test.owners.defaultOwner = { Ownership::Owned, "s0" };
+    auto job = test.job();
+    job.key = 7;
+    test.scheduler.pauseServer("s0", 1, test.now + std::chrono::milliseconds(500));
+    CHECK(test.submit(job).empty());
+    test.serverMap.at("s0").instance.startMillis = 2;
+    test.scheduler.setServers(test.serverMap, test.now);
+    CHECK(serverOf(test.scheduler.tick(test.now)) == "s0");
+}
--- a/libs/client/include/client/ClientConnection.h
+++ b/libs/client/include/client/ClientConnection.h
@@ -4,6 +4,7 @@
 #include "net/TcpStream.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sequoia::client {
@@ -15,14 +16,20 @@
     MalformedResponse, //!< The bytes are not an HTTP response, or belong to another request.
 };
 
+//! What a response head means for the request that is waiting for its response.
+enum class ResponseMatch {
+    Accept,
+    Skip, //!< The response belongs to an earlier request.
+    Reject, //!< The head is not that of a valid response; the request fails without waiting for the body.
+};
+
 //! Receives the response to one request. No callback follows a failure or the end of the response.
 class RequestObserver {
 public:
     virtual ~RequestObserver() = default;
     //! The connection is established; the request is being sent.
     virtual void onSending() { }
-    //! Decides whether the response answers this request; if not, it is skipped.
-    virtual bool acceptsResponse(const http::MessageHead& head) = 0;
+    virtual ResponseMatch matchResponse(const http::MessageHead& head) = 0;
     //! Body bytes; the first call carries the response head. `complete` marks the end of the response.
     virtual void onResponse(const http::MessageHead& head, std::string_view bytes, bool complete) = 0;
     virtual void onFailure(RequestFailure failure, const std::string& reason) = 0;
@@ -48,8 +55,12 @@
 
     //! Starts a request; the connection must be idle. Up to `responseBuffer` bytes of the response body are buffered
     //! before they are forwarded, so that short responses are delivered completely or not at all.
-    void startRequest(
-        std::string_view bytes, bool withoutResponseBody, std::size_t responseBuffer, RequestObserver& observer);
+    //! `tag` identifies the request to the server, which repeats it in its response.
+    void startRequest(std::string_view bytes, bool withoutResponseBody, std::size_t responseBuffer,
+        RequestObserver& observer, const std::string& tag = {});
+    //! Tag of the last request. A second copy of its response cannot be told from the response to a request with the
+    //! same tag.
+    const std::string& lastTag() const { return this->tag; }
     //! Sends more bytes of the request.
     void write(std::string_view bytes);
     //! The request is written completely. After a response that arrives earlier, the connection is not reused.
@@ -66,7 +77,6 @@
     TimePoint idleSince() const { return this->idleStart; }
     //! Idle timeout that the peer announced in its last response; zero if it announced none.
     Duration keepAliveTimeout() const { return this->keepAlive; }
-    const std::string& addressText() const { return this->address; }
 
 private:
     void onConnected() override;
@@ -75,6 +85,9 @@
     void onEnd(net::StreamEnd end) override;
 
     void checkHead();
+    void checkUnparsedInput();
+    void onHeadTimeout();
+    void cancelHeadTimer();
     bool endResponse();
     void forwardBody(bool complete);
     void complete();
@@ -94,6 +107,9 @@
     bool headChecked = false;
     bool skipping = false;
     unsigned skipped = 0;
+    std::size_t skippedBytes = 0;
+    std::optional<net::Reactor::TimerId> headTimer; //!< runs while a head is incomplete
+    std::string tag;
     bool streaming = false; //!< part of the response has been forwarded
     Duration keepAlive {};
     TimePoint idleStart {};
--- a/libs/client/include/client/ConnectionPool.h
+++ b/libs/client/include/client/ConnectionPool.h
@@ -19,8 +19,9 @@
     ConnectionPool& operator=(const ConnectionPool&) = delete;
 
     //! Returns a connection that has been idle for at most `maxIdle`, or a new one. `peer` distinguishes peers that
-    //! use the same address one after the other.
-    ClientConnection& acquire(const std::string& peer, const net::SocketAddress& address, Duration maxIdle);
+    //! use the same address one after the other. Skips connections whose last request had the given tag.
+    ClientConnection& acquire(
+        const std::string& peer, const net::SocketAddress& address, Duration maxIdle, const std::string& tag = {});
     //! Closes the idle connections to one peer.
     void closeIdle(const std::string& peer);
     //! Closes connections whose idle timeout has passed; called about once per second.
@@ -46,7 +47,6 @@
     std::map<const ClientConnection*, Entry> connections;
     //! The most recently used connection is last and reused first, so that the others reach their idle timeout.
     std::map<std::string, std::vector<ClientConnection*>> idle;
-    std::shared_ptr<int> lifetime = std::make_shared<int>(0);
     std::uint64_t openedCount = 0;
 };
 
--- a/libs/client/include/client/HttpClient.h
+++ b/libs/client/include/client/HttpClient.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <list>
+#include <optional>
 
 namespace sequoia::client {
 
@@ -14,6 +15,11 @@
     std::string contentType;
     std::string body;
     http::Headers headers {};
+    //! Header in which the peer repeats the tag of a request, so that a late second copy of an earlier response is
+    //! recognised. Both are empty for peers that do not repeat it.
+    std::string tagHeader {};
+    std::string tag {};
+    std::optional<std::size_t> maxResponseBytes {}; //!< a longer response fails the request
 };
 
 struct HttpResponse {
--- a/libs/client/src/ClientConnection.cpp
+++ b/libs/client/src/ClientConnection.cpp
@@ -8,8 +8,11 @@
 namespace {
 
 constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
-// After more responses to other requests than this, the connection fails.
+// After more responses to other requests than this, or more bytes of them, the connection fails.
 constexpr unsigned maxSkippedResponses = 3;
+constexpr std::size_t maxSkippedBytes = std::size_t { 1024 } * 1024;
+// A response head that has begun arrives within this time.
+constexpr Duration headTimeout = std::chrono::seconds(2);
 
 Duration keepAliveOf(const http::Headers& headers)
 {
@@ -36,12 +39,16 @@
 {
 }
 
-ClientConnection::~ClientConnection() = default;
+ClientConnection::~ClientConnection()
+{
+    this->cancelHeadTimer();
+}
 
-void ClientConnection::startRequest(
-    std::string_view bytes, bool noResponseBody, std::size_t buffer, RequestObserver& receiver)
+void ClientConnection::startRequest(std::string_view bytes, bool noResponseBody, std::size_t buffer,
+    RequestObserver& receiver, const std::string& requestTag)
 {
     assert(!this->observer);
+    this->tag = requestTag;
     this->observer = &receiver;
     this->parser = std::make_unique<http::MessageParser>(http::MessageType::Response, maxHeaderBytes);
     if (noResponseBody)
@@ -52,6 +59,7 @@
     this->headChecked = false;
     this->skipping = false;
     this->skipped = 0;
+    this->skippedBytes = 0;
     this->streaming = false;
     this->body.clear();
     this->stream.setReading(true);
@@ -67,6 +75,7 @@
 
 void ClientConnection::abort()
 {
+    this->cancelHeadTimer();
     this->observer = nullptr;
     this->stream.close();
     this->owner.onRequestEnd(*this, false);
@@ -105,10 +114,21 @@
             return;
         }
         this->stream.consume(valueOf(parsed));
-        if (!this->parser->isHeadComplete())
+        if (!this->parser->isHeadComplete()) {
+            if (!this->headTimer)
+                this->headTimer = this->reactor.scheduleAfter(headTimeout, [this] { this->onHeadTimeout(); });
             return;
+        }
+        this->cancelHeadTimer();
         if (!this->headChecked)
             this->checkHead();
+        if (!this->observer)
+            return;
+        if (this->skipping) {
+            this->skippedBytes += valueOf(parsed);
+            this->body.clear();
+        }
+        this->checkUnparsedInput();
         if (!this->observer)
             return;
         if (this->parser->complete()) {
@@ -128,13 +148,41 @@
     this->headChecked = true;
     const auto& head = this->parser->head();
     bool informational = head.status < 200;
-    this->skipping = informational || !this->observer->acceptsResponse(head);
+    auto match = informational ? ResponseMatch::Skip : this->observer->matchResponse(head);
+    this->skipping = match == ResponseMatch::Skip;
+    if (match == ResponseMatch::Reject) {
+        this->fail(RequestFailure::MalformedResponse, "the response is not a signed response to this request");
+        return;
+    }
     if (!this->skipping || informational)
         return;
     if (++this->skipped > maxSkippedResponses || head.framing == http::BodyFraming::UntilClose)
         this->fail(RequestFailure::MalformedResponse, "the response belongs to another request");
 }
 
+// The parser consumes whole chunk headers and trailers, so a server that never ends one would fill the input buffer.
+void ClientConnection::checkUnparsedInput()
+{
+    if (this->stream.input().size() > maxHeaderBytes && !this->parser->complete())
+        this->fail(RequestFailure::MalformedResponse, "a chunk header or trailer is longer than the limit");
+    else if (this->skippedBytes > maxSkippedBytes)
+        this->fail(RequestFailure::MalformedResponse, "responses to other requests are longer than the limit");
+}
+
+void ClientConnection::onHeadTimeout()
+{
+    this->headTimer.reset();
+    if (this->observer)
+        this->fail(RequestFailure::MalformedResponse, "the response head did not arrive in time");
+}
+
+void ClientConnection::cancelHeadTimer()
+{
+    if (this->headTimer)
+        this->reactor.cancel(*this->headTimer);
+    this->headTimer.reset();
+}
+
 //! Handles the end of a response; returns whether parsing continues with the next one.
 bool ClientConnection::endResponse()
 {
@@ -204,6 +252,7 @@
 
 void ClientConnection::endRequest(bool reusable)
 {
+    this->cancelHeadTimer();
     this->observer = nullptr;
     this->idleStart = this->reactor.now();
     if (!reusable)
--- a/libs/client/src/ConnectionPool.cpp
+++ b/libs/client/src/ConnectionPool.cpp
@@ -28,16 +28,19 @@
     return std::min(used, this->idleTimeout);
 }
 
-ClientConnection& ConnectionPool::acquire(const std::string& peer, const net::SocketAddress& address, Duration maxIdle)
+ClientConnection& ConnectionPool::acquire(
+    const std::string& peer, const net::SocketAddress& address, Duration maxIdle, const std::string& tag)
 {
     auto now = this->reactor.now();
     auto& list = this->idle[peer];
-    while (!list.empty()) {
-        auto* connection = list.back();
+    for (auto index = list.size(); index > 0; --index) {
+        auto* connection = list[index - 1];
         auto age = now - connection->idleSince();
         if (age > maxIdle)
             break;
-        list.pop_back();
+        if (!tag.empty() && connection->lastTag() == tag)
+            continue;
+        list.erase(list.begin() + static_cast<std::ptrdiff_t>(index) - 1);
         if (age < this->idleTimeoutOf(*connection) && connection->isUsable()) {
             this->connections.at(connection).idle = false;
             return *connection;
@@ -73,6 +76,7 @@
             this->remove(**entry);
         list.erase(expired, list.end());
     }
+    std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
 }
 
 void ConnectionPool::onRequestEnd(ClientConnection& connection, bool reusable)
--- a/libs/client/src/HttpClient.cpp
+++ b/libs/client/src/HttpClient.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Response bodies are buffered up to this size; a larger response fails the request.
-constexpr std::size_t maxResponseBytes = std::size_t { 8 } * 1024 * 1024;
+constexpr std::size_t defaultMaxResponseBytes = std::size_t { 8 } * 1024 * 1024;
 
 std::string requestText(const std::string& address, const HttpRequest& request)
 {
@@ -20,6 +20,8 @@
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     for (const auto& header : request.headers.all())
         text += header.name + ": " + header.value + "\r\n";
+    if (!request.tagHeader.empty())
+        text += request.tagHeader + ": " + request.tag + "\r\n";
     return text + "\r\n" + request.body;
 }
 
@@ -27,14 +29,20 @@
 
 class HttpClient::Pending final : public RequestObserver {
 public:
-    Pending(HttpClient& owner, std::string target, Callback done)
+    Pending(HttpClient& owner, std::string target, const HttpRequest& request, Callback done)
         : client(owner)
         , address(std::move(target))
+        , tagHeader(request.tagHeader)
+        , tag(request.tag)
         , callback(std::move(done))
     {
     }
 
-    bool acceptsResponse(const http::MessageHead&) override { return true; }
+    ResponseMatch matchResponse(const http::MessageHead& head) override
+    {
+        const auto* id = this->tagHeader.empty() ? nullptr : head.headers.find(this->tagHeader);
+        return !id || *id == this->tag ? ResponseMatch::Accept : ResponseMatch::Skip;
+    }
 
     void onSending() override { this->sent = true; }
 
@@ -87,6 +95,8 @@
 
     HttpClient& client;
     std::string address;
+    std::string tagHeader;
+    std::string tag;
     bool sent = false;
 
 public:
@@ -113,11 +123,12 @@
         this->reactor.defer([error, callback = std::move(callback)] { callback(error); });
         return;
     }
-    auto& pending = *this->pendingCalls.emplace_back(std::make_unique<Pending>(*this, address, std::move(callback)));
+    auto& pending
+        = *this->pendingCalls.emplace_back(std::make_unique<Pending>(*this, address, request, std::move(callback)));
     pending.timer = this->reactor.scheduleAfter(timeout, [&pending] { pending.expire(); });
     pending.connection = &this->pool.acquire(address, valueOf(parsed), std::chrono::minutes(1));
-    pending.connection->startRequest(
-        requestText(address, request), request.method == "HEAD", maxResponseBytes, pending);
+    pending.connection->startRequest(requestText(address, request), request.method == "HEAD",
+        request.maxResponseBytes.value_or(defaultMaxResponseBytes), pending, request.tag);
     if (pending.connection)
         pending.connection->finishRequest();
 }
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "balance/Scheduler.h"
+#include "balance/ServerNotice.h"
 #include "coordination/DirectoryHistory.h"
 #include "core/Random.h"
 #include "fleet/Configuration.h"
+#include "fleet/LeavingServers.h"
 #include "keyspace/KeyLeaseManager.h"
 
 #include <map>
@@ -104,6 +106,9 @@
     Host& findOrAddHost(const std::string& incarnation, const std::string& address);
     void applyReport(Host& host, const wire::Report& report);
     void submitJob(Host& host, const wire::Submit& message);
+    void applyNotice(const Host& host, const wire::ServerNotice& notice);
+    void addLeavingServer(const fleet::ServerInstance& instance);
+    void applyServers();
     void addPlacement(const std::string& address, std::uint64_t job, const std::string& server);
     void addDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     wire::Datagram& replyTo(const std::string& address);
@@ -124,7 +129,9 @@
     bool started = false;
     std::map<std::string, keyspace::KeyPlan> storedPlans;
     std::shared_ptr<const fleet::Configuration> configuration;
-    fleet::ServerMap servers;
+    fleet::ServerMap listedServers; //!< as they were set
+    fleet::ServerMap servers; //!< with the leaving ones marked as draining
+    fleet::LeavingServers leavingServers;
     DirectoryHistory directory;
     std::map<std::string, KeyedService, std::less<>> keyedServices;
     std::map<std::string, Host> hosts; //!< by incarnation
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -3,6 +3,7 @@
 #include "balance/Scheduler.h"
 #include "coordination/KeyPlanCache.h"
 #include "edge/Placer.h"
+#include "fleet/LeavingServers.h"
 
 #include <deque>
 #include <functional>
@@ -28,6 +29,7 @@
     void submit(const balance::Job& job, edge::PlacementObserver& observer) override;
     void withdraw(std::uint64_t job) override;
     void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
+    bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) override;
 
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
@@ -35,6 +37,9 @@
     void setHostCount(std::uint32_t hosts);
     //! Places new jobs through the coordinator of the term, and resubmits the jobs that wait at one of another term.
     void onCoordinatorContact(std::uint64_t term);
+    //! Sets the number that the coordinator gave this host. A new number within a term means that the coordinator has
+    //! forgotten the jobs of this host.
+    void setHostNumber(std::uint64_t number);
     void onCoordinatorLost();
     //! Processes the placements, refusals and acknowledgements in a datagram of the coordinator.
     void receive(const wire::Datagram& datagram);
@@ -44,6 +49,8 @@
     bool takeMessages(wire::Datagram& datagram);
     //! Fills in the loads and the plan versions of the periodic report.
     void fillReport(wire::Report& report) const;
+    //! Adds all that servers have announced and that is still in force, since earlier messages may have been lost.
+    void fillNotices(wire::Datagram& datagram) const;
 
     KeyPlanCache& plans() { return this->planCache; }
     std::size_t waitingJobs() const { return this->pendingJobs.size(); }
@@ -58,13 +65,21 @@
         TimePoint firstSent {};
         TimePoint lastSent {};
         unsigned resendCount = 0;
+        std::string declinedServer; //!< a placement on this server was not used
     };
 
     void sendSubmit(PendingJob& entry);
     void submitLocally(std::uint64_t number);
     void applyDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     void resubmitAll();
-    void onJobPlaced(std::uint64_t number, const std::string& server, const std::string& address, bool byCoordinator);
+    void onJobPlaced(
+        std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator);
+    bool mustDecline(const fleet::ServerInstance& server) const;
+    void declinePlacement(PendingJob& entry, const fleet::ServerInstance& server);
+    void forgetCoordinatorJobs();
+    wire::ServerNotice noticeOf(const fleet::ServerInstance& server) const;
+    fleet::ServerInstance instanceOf(const std::string& server) const;
+    void applyServers();
     std::string addressOf(const std::string& server) const;
     void onJobRefused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter);
     void queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed);
@@ -73,13 +88,18 @@
     ScheduleSend scheduleSend;
     KeyPlanCache planCache;
     balance::Scheduler scheduler;
-    fleet::ServerMap servers;
+    fleet::ServerMap listedServers; //!< as they were set
+    fleet::ServerMap servers; //!< with the leaving ones marked as draining
+    fleet::LeavingServers leavingServers;
+    std::map<fleet::ServerInstance, TimePoint> pauses; //!< that servers asked this host for, with their ends
+    std::uint64_t hostNumber = 0;
     bool coordinatorActive = false;
     TimePoint lastCoordinatorContact {};
     std::map<std::uint64_t, PendingJob> pendingJobs;
     struct PlacedJob {
-        std::string server;
+        fleet::ServerInstance server;
         std::uint64_t term = 0; //!< term of the coordinator that placed the job; 0 for a local placement
+        std::uint64_t hostNumber = 0; //!< this host's number when the job was placed
     };
     std::map<std::uint64_t, PlacedJob> placedJobs;
     std::uint64_t term = 0;
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -61,12 +61,20 @@
 
 void Coordinator::setServers(const fleet::ServerMap& listed)
 {
-    this->servers = listed;
-    this->directory.update(listed);
-    this->scheduler.setServers(listed, this->clock.now());
+    this->listedServers = listed;
+    this->applyServers();
+}
+
+void Coordinator::applyServers()
+{
+    auto now = this->clock.now();
+    this->servers = this->listedServers;
+    this->leavingServers.apply(this->servers, now);
+    this->directory.update(this->servers);
+    this->scheduler.setServers(this->servers, now);
     for (auto& [service, entry] : this->keyedServices) {
         fleet::ServerMap serversOfService;
-        for (const auto& [id, server] : listed) {
+        for (const auto& [id, server] : this->servers) {
             if (server.service == service)
                 serversOfService.emplace(id, server);
         }
@@ -125,6 +133,8 @@
     auto& host = this->findOrAddHost(datagram.sender(), address);
     if (datagram.has_report())
         this->applyReport(host, datagram.report());
+    for (const auto& notice : datagram.notices())
+        this->applyNotice(host, notice);
     for (const auto& end : datagram.ends())
         this->addDecisions(this->scheduler.jobEnded({ host.number, end.job() },
             static_cast<balance::JobResult>(end.result()), Duration(static_cast<std::int64_t>(end.elapsed_us())), now));
@@ -137,14 +147,35 @@
         this->submitJob(host, message);
 }
 
+void Coordinator::applyNotice(const Host& host, const wire::ServerNotice& notice)
+{
+    auto now = this->clock.now();
+    fleet::ServerInstance instance { notice.server(), notice.born_ms() };
+    if (notice.leaving())
+        this->addLeavingServer(instance);
+    auto listed = this->servers.find(instance.id);
+    if (notice.pause_ms() > 0 && listed != this->servers.end() && listed->second.instance == instance)
+        this->scheduler.pauseServer(
+            instance.id, host.number, now + std::min(fromMillis(notice.pause_ms()), balance::maxServerPause));
+}
+
+void Coordinator::addLeavingServer(const fleet::ServerInstance& instance)
+{
+    if (this->leavingServers.add(instance, this->clock.now()))
+        this->applyServers();
+}
+
 void Coordinator::submitJob(Host& host, const wire::Submit& message)
 {
     auto now = this->clock.now();
     balance::JobId id { host.number, message.job() };
     if (const auto* server = this->scheduler.placementOf(id)) {
-        // The host submits the job again because the placement was lost.
-        this->addPlacement(host.address, message.job(), *server);
-        return;
+        if (*server != message.declined_server()) {
+            // The host submits the job again because the placement was lost.
+            this->addPlacement(host.address, message.job(), *server);
+            return;
+        }
+        this->addDecisions(this->scheduler.jobEnded(id, balance::JobResult::Abandoned, {}, now));
     }
     if (this->scheduler.isWaiting(id)) {
         this->replyTo(host.address).add_queued()->set_job(message.job());
@@ -168,8 +199,10 @@
     message->set_job(job);
     message->set_server(server);
     auto entry = this->servers.find(server);
-    if (entry != this->servers.end())
+    if (entry != this->servers.end()) {
         message->set_address(entry->second.address);
+        message->set_born_ms(entry->second.instance.startMillis);
+    }
 }
 
 void Coordinator::addDecisions(const std::vector<balance::SchedulingDecision>& decisions)
@@ -278,7 +311,7 @@
         added = true;
     }
     if (added)
-        this->setServers(fleet::ServerMap(this->servers));
+        this->applyServers();
     if (added || now - this->lastLoadUpdate >= keyLoadInterval) {
         this->lastLoadUpdate = now;
         this->updateCapacities();
@@ -359,6 +392,7 @@
         beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
         beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
         beacon->set_resigned(status.resigned);
+        beacon->set_host_number(host.number);
         this->fillPlans(host, *beacon);
         result.push_back(std::move(outgoing));
     }
@@ -452,6 +486,8 @@
 
 void Coordinator::onOrderResponse(const keyspace::LeaseOrder& order, const keyspace::LeaseOrderResponse& response)
 {
+    if (response.serverLeaving)
+        this->addLeavingServer(order.server);
     auto found = this->keyedServices.find(order.service);
     if (found != this->keyedServices.end())
         found->second.leaseManager->handleResponse(order.id, response, this->clock.now());
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -3,6 +3,7 @@
 #include "coordination/JobMessages.h"
 
 #include <algorithm>
+#include <set>
 
 namespace sequoia::coordination {
 
@@ -21,6 +22,8 @@
 // Share of each server's slots for local placement. Hosts that place locally at the same time share the slots, and
 // their number is not known exactly.
 constexpr double localSlotShare = 0.3;
+// This host's number in its own scheduler.
+constexpr std::uint64_t localHost = 0;
 // Used until a beacon gives the number of hosts.
 constexpr std::uint32_t defaultHostCount = 10;
 
@@ -56,7 +59,9 @@
 {
     auto now = this->clock.now();
     entry.lastSent = now;
-    fillSubmit(entry.job, now, *this->outgoing.add_submits());
+    auto* message = this->outgoing.add_submits();
+    fillSubmit(entry.job, now, *message);
+    message->set_declined_server(entry.declinedServer);
     this->hasOutgoing = true;
     this->scheduleSend();
 }
@@ -91,13 +96,66 @@
     if (found == this->placedJobs.end())
         return;
     auto placementTerm = found->second.term;
+    bool isKnownToCoordinator = placementTerm == this->term && found->second.hostNumber == this->hostNumber;
     this->placedJobs.erase(found);
-    if (placementTerm == this->term && placementTerm != 0)
+    if (isKnownToCoordinator && placementTerm != 0)
         this->queueJobEnd(job, result, elapsed);
     else if (placementTerm == 0)
         this->applyDecisions(this->scheduler.jobEnded({ 0, job }, result, elapsed, this->clock.now()));
 }
 
+bool PlacementClient::reportNotice(std::uint64_t job, const balance::ServerNotice& notice)
+{
+    auto found = this->placedJobs.find(job);
+    if (found == this->placedJobs.end())
+        return false;
+    const auto& server = found->second.server;
+    auto now = this->clock.now();
+    bool isNew = false;
+    if (notice.leaving && this->leavingServers.add(server, now)) {
+        isNew = true;
+        this->applyServers();
+    }
+    if (notice.pause > Duration::zero()) {
+        auto until = now + std::min(notice.pause, balance::maxServerPause);
+        auto& end = this->pauses[server];
+        isNew = isNew || until > end;
+        end = std::max(end, until);
+        this->scheduler.pauseServer(server.id, localHost, end);
+    }
+    if (isNew && this->coordinatorActive) {
+        *this->outgoing.add_notices() = this->noticeOf(server);
+        this->hasOutgoing = true;
+        this->scheduleSend();
+    }
+    return isNew;
+}
+
+wire::ServerNotice PlacementClient::noticeOf(const fleet::ServerInstance& server) const
+{
+    wire::ServerNotice message;
+    message.set_server(server.id);
+    message.set_born_ms(server.startMillis);
+    message.set_leaving(this->leavingServers.contains(server));
+    auto pause = this->pauses.find(server);
+    if (pause != this->pauses.end() && pause->second > this->clock.now())
+        message.set_pause_ms(static_cast<std::uint32_t>(toMillis(pause->second - this->clock.now()) + 1));
+    return message;
+}
+
+void PlacementClient::fillNotices(wire::Datagram& datagram) const
+{
+    std::set<fleet::ServerInstance> instances;
+    for (auto& instance : this->leavingServers.instances())
+        instances.insert(std::move(instance));
+    for (const auto& [instance, until] : this->pauses) {
+        if (until > this->clock.now())
+            instances.insert(instance);
+    }
+    for (const auto& instance : instances)
+        *datagram.add_notices() = this->noticeOf(instance);
+}
+
 void PlacementClient::queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed)
 {
     wire::JobEnd end;
@@ -111,8 +169,16 @@
 
 void PlacementClient::setServers(const fleet::ServerMap& listed)
 {
-    this->servers = listed;
-    this->scheduler.setServers(listed, this->clock.now());
+    this->listedServers = listed;
+    this->applyServers();
+}
+
+void PlacementClient::applyServers()
+{
+    auto now = this->clock.now();
+    this->servers = this->listedServers;
+    this->leavingServers.apply(this->servers, now);
+    this->scheduler.setServers(this->servers, now);
 }
 
 void PlacementClient::setHostCount(std::uint32_t hosts)
@@ -127,11 +193,26 @@
     if (newTerm == this->term)
         return;
     this->term = newTerm;
+    this->hostNumber = 0;
+    this->forgetCoordinatorJobs();
+}
+
+void PlacementClient::setHostNumber(std::uint64_t number)
+{
+    bool changed = this->hostNumber != 0 && number != this->hostNumber;
+    this->hostNumber = number;
+    if (changed)
+        this->forgetCoordinatorJobs();
+}
+
+void PlacementClient::forgetCoordinatorJobs()
+{
     this->recentJobEnds.clear();
     this->resubmitAll();
 }
 
-// A new coordinator does not know the jobs that wait at its predecessor.
+// A new coordinator does not know the jobs that wait at its predecessor, and one that has removed this host after a
+// silence does not know them any more.
 void PlacementClient::resubmitAll()
 {
     this->outgoing.Clear();
@@ -167,14 +248,14 @@
             found->second.acknowledged = true;
     }
     for (const auto& message : datagram.placements())
-        this->onJobPlaced(message.job(), message.server(), message.address(), true);
+        this->onJobPlaced(message.job(), { message.server(), message.born_ms() }, message.address(), true);
     for (const auto& message : datagram.refusals())
         this->onJobRefused(message.job(), static_cast<balance::RefusalReason>(message.reason()),
             fromMillis(static_cast<std::int64_t>(message.retry_after_ms())));
 }
 
 void PlacementClient::onJobPlaced(
-    std::uint64_t number, const std::string& server, const std::string& address, bool byCoordinator)
+    std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator)
 {
     auto found = this->pendingJobs.find(number);
     if (found == this->pendingJobs.end() || found->second.atCoordinator != byCoordinator) {
@@ -183,18 +264,38 @@
             this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         return;
     }
-    auto listedServer = this->servers.find(server);
-    if (byCoordinator && listedServer != this->servers.end()
-        && listedServer->second.state == fleet::ServerState::Draining) {
-        // The coordinator's list may be stale when it does not reach the store, so this host's list takes precedence.
-        this->queueJobEnd(number, balance::JobResult::Abandoned, {});
-        this->submitLocally(number);
+    if (byCoordinator && this->mustDecline(server)) {
+        this->declinePlacement(found->second, server);
         return;
     }
     auto* observer = found->second.observer;
     this->pendingJobs.erase(found);
-    this->placedJobs[number] = { server, byCoordinator ? this->term : 0 };
-    observer->onPlaced(number, { server, address, this->placedJobs[number].term });
+    this->placedJobs[number] = { server, byCoordinator ? this->term : 0, this->hostNumber };
+    observer->onPlaced(number, { server.id, address, this->placedJobs[number].term });
+}
+
+// The coordinator may not know yet what a server has announced to this host, and its list may be older than this
+// host's.
+bool PlacementClient::mustDecline(const fleet::ServerInstance& server) const
+{
+    auto pause = this->pauses.find(server);
+    return this->leavingServers.contains(server) || (pause != this->pauses.end() && pause->second > this->clock.now());
+}
+
+void PlacementClient::declinePlacement(PendingJob& entry, const fleet::ServerInstance& server)
+{
+    *this->outgoing.add_notices() = this->noticeOf(server);
+    entry.declinedServer = server.id;
+    entry.acknowledged = false;
+    entry.resendCount = 0;
+    entry.firstSent = this->clock.now();
+    this->sendSubmit(entry);
+}
+
+fleet::ServerInstance PlacementClient::instanceOf(const std::string& server) const
+{
+    auto entry = this->servers.find(server);
+    return entry == this->servers.end() ? fleet::ServerInstance { server, 0 } : entry->second.instance;
 }
 
 std::string PlacementClient::addressOf(const std::string& server) const
@@ -218,7 +319,8 @@
 {
     for (const auto& decision : decisions) {
         if (const auto* placement = std::get_if<balance::JobPlacement>(&decision))
-            this->onJobPlaced(placement->job.number, placement->server, this->addressOf(placement->server), false);
+            this->onJobPlaced(
+                placement->job.number, this->instanceOf(placement->server), this->addressOf(placement->server), false);
         else if (const auto* refusal = std::get_if<balance::JobRefusal>(&decision))
             this->onJobRefused(refusal->job.number, refusal->reason, refusal->retryAfter);
     }
@@ -227,6 +329,7 @@
 void PlacementClient::tick()
 {
     auto now = this->clock.now();
+    std::erase_if(this->pauses, [now](const auto& entry) { return entry.second <= now; });
     if (this->coordinatorActive && now - this->lastCoordinatorContact > coordinatorTimeout)
         this->onCoordinatorLost();
     this->applyDecisions(this->scheduler.tick(now));
@@ -275,8 +378,8 @@
     // Counts the jobs that the coordinator of this term has not placed itself.
     std::map<std::string, std::uint32_t> inFlight;
     for (const auto& [number, job] : this->placedJobs) {
-        if (job.term != this->term || job.term == 0)
-            ++inFlight[job.server];
+        if (job.term != this->term || job.term == 0 || job.hostNumber != this->hostNumber)
+            ++inFlight[job.server.id];
     }
     for (const auto& [server, count] : inFlight) {
         auto* entry = report.add_loads();
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -335,3 +335,201 @@
     }
     CHECK(coordinator.maxProcessorShareWithStore() == 0);
 }
+
+namespace {
+
+wire::Datagram reportOf(const PlacementClient& host, const std::string& sender)
+{
+    wire::Datagram datagram;
+    datagram.set_sender(sender);
+    host.fillReport(*datagram.mutable_report());
+    host.fillNotices(datagram);
+    return datagram;
+}
+
+constexpr balance::ServerNotice leavingNotice { true, {} };
+
+}
+
+// Guards against requests that reach a server after it has announced that it leaves: a placement may be on its way.
+TEST_CASE("a host declines a placement on a server that announced that it leaves, and gets another one")
+{
+    CoordinationFixture fixture(2);
+    auto first = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    auto leaving = fixture.observer.placed.at(first).server;
+    // The coordinator places further jobs before it hears of the announcement.
+    std::vector<std::uint64_t> jobs;
+    for (int i = 0; i < 3; ++i)
+        jobs.push_back(fixture.submit());
+    fixture.sendToCoordinator();
+    CHECK(fixture.host.reportNotice(first, leavingNotice));
+    CHECK_FALSE(fixture.host.reportNotice(first, leavingNotice));
+    fixture.sendToHost();
+    for (int round = 0; round < 3; ++round) {
+        fixture.sendToCoordinator();
+        fixture.sendToHost();
+    }
+    for (auto job : jobs) {
+        auto placed = fixture.observer.placed.find(job);
+        if (placed != fixture.observer.placed.end())
+            CHECK(placed->second.server != leaving);
+    }
+    // Two of the three found a slot on the other server, and the slots of the declined ones are free.
+    CHECK(fixture.observer.placed.size() == 3);
+    CHECK(fixture.coordinator.waitingJobs() == 1);
+}
+
+TEST_CASE("an announcement that was lost reaches the coordinator with the next report, and a list does not revert it")
+{
+    CoordinationFixture fixture(1);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    fixture.host.reportNotice(job, leavingNotice);
+    fixture.sendToCoordinator(true);
+    fixture.coordinator.receive(reportOf(fixture.host, "host"), hostAddress);
+    fixture.coordinator.setServers(servers(1));
+    wire::Datagram submission;
+    submission.set_sender("other");
+    auto* message = submission.add_submits();
+    message->set_job(1);
+    message->set_service("plain");
+    message->set_target_left_ms(600);
+    message->set_deadline_left_ms(2500);
+    fixture.coordinator.receive(submission, "127.0.0.1:2000");
+    auto replies = fixture.coordinator.takeReplies();
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].datagram.placements_size() == 0);
+    CHECK(replies[0].datagram.refusals_size() == 1);
+    // Other hosts learn it with the list of servers.
+    for (const auto& beacon : fixture.coordinator.makeBeacons({ "self", false, false, 0 })) {
+        REQUIRE(beacon.datagram.beacon().directory().entries_size() == 1);
+        CHECK(beacon.datagram.beacon().directory().entries(0).draining());
+    }
+    // A new run of the server is used again.
+    auto restarted = servers(1);
+    restarted.at("s0").instance.startMillis = 2;
+    fixture.coordinator.setServers(restarted);
+    message->set_job(2);
+    fixture.coordinator.receive(submission, "127.0.0.1:2000");
+    CHECK(fixture.coordinator.takeReplies().at(0).datagram.placements_size() == 1);
+}
+
+// Guards against a server that has left being used again after its coordinator was replaced.
+TEST_CASE("a new coordinator learns from the reports of the hosts which servers leave")
+{
+    CoordinationFixture fixture(2);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    auto leaving = fixture.observer.placed.at(job).server;
+    fixture.host.reportNotice(job, leavingNotice);
+    Coordinator next(fixture.clock, 2, {}, {});
+    next.setServers(servers(2));
+    next.start({});
+    fixture.host.onCoordinatorContact(2);
+    next.receive(reportOf(fixture.host, "host"), hostAddress);
+    for (int i = 0; i < 2; ++i) {
+        fixture.submit();
+        wire::Datagram datagram;
+        REQUIRE(fixture.host.takeMessages(datagram));
+        datagram.set_sender("host");
+        next.receive(datagram, hostAddress);
+        for (const auto& reply : next.takeReplies()) {
+            REQUIRE(reply.datagram.placements_size() == 1);
+            CHECK(reply.datagram.placements(0).server() != leaving);
+        }
+    }
+}
+
+TEST_CASE("without a coordinator, a host places no job on a server that announced that it leaves")
+{
+    CoordinationFixture fixture(2);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    auto leaving = fixture.observer.placed.at(job).server;
+    fixture.host.reportNotice(job, leavingNotice);
+    fixture.host.onCoordinatorLost();
+    fixture.host.setServers(servers(2));
+    auto local = fixture.submit();
+    CHECK(fixture.observer.placed.at(local).server != leaving);
+}
+
+TEST_CASE("a pause that a server asked for concerns the host that it asked, at the coordinator and locally")
+{
+    CoordinationFixture fixture(1);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    // A further placement is on its way when the server asks for the pause.
+    auto crossing = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.host.reportNotice(job, { false, std::chrono::milliseconds(700) });
+    fixture.host.reportEnd(job, balance::JobResult::Rejected, std::chrono::milliseconds(2));
+    fixture.sendToHost();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    CHECK_FALSE(fixture.observer.placed.contains(crossing));
+    wire::Datagram submission;
+    submission.set_sender("other");
+    auto* message = submission.add_submits();
+    message->set_job(1);
+    message->set_service("plain");
+    message->set_target_left_ms(600);
+    message->set_deadline_left_ms(2500);
+    fixture.clock.advance(std::chrono::milliseconds(100));
+    fixture.coordinator.receive(submission, "127.0.0.1:2000");
+    CHECK(fixture.coordinator.takeReplies().at(0).datagram.placements_size() == 1);
+    fixture.clock.advance(std::chrono::milliseconds(500));
+    fixture.coordinator.tick();
+    fixture.sendToHost();
+    CHECK_FALSE(fixture.observer.placed.contains(crossing));
+    fixture.clock.advance(std::chrono::milliseconds(110));
+    fixture.coordinator.tick();
+    fixture.sendToHost();
+    CHECK(fixture.observer.placed.contains(crossing));
+}
+
+// Guards against callers of a host that was silent for a while: the coordinator forgets its waiting jobs, and a host
+// that heard the coordinator all the time took them for queued until their deadlines.
+TEST_CASE("a host that the coordinator removed after a silence resubmits its waiting jobs")
+{
+    CoordinationFixture fixture(1);
+    auto deliverBeacons = [&] {
+        for (const auto& beacon : fixture.coordinator.makeBeacons({ "self", false, false, 0 })) {
+            fixture.host.onCoordinatorContact(1);
+            fixture.host.setHostNumber(beacon.datagram.beacon().host_number());
+        }
+    };
+    auto running = fixture.submit();
+    fixture.submit();
+    auto waiting = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    deliverBeacons();
+    CHECK(fixture.observer.placed.size() == 2);
+    // The host's messages are lost for 1.6 s, and the next one arrives before the host misses a beacon.
+    for (int i = 0; i < 16; ++i) {
+        fixture.clock.advance(std::chrono::milliseconds(100));
+        deliverBeacons();
+        fixture.coordinator.tick();
+    }
+    fixture.coordinator.receive(reportOf(fixture.host, "host"), hostAddress);
+    deliverBeacons();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    CHECK(fixture.coordinator.waitingJobs() == 1);
+    // The jobs that run are still counted, so that the server gets no more jobs than it has slots.
+    fixture.coordinator.receive(reportOf(fixture.host, "host"), hostAddress);
+    fixture.coordinator.tick();
+    fixture.sendToHost();
+    CHECK_FALSE(fixture.observer.placed.contains(waiting));
+    fixture.host.reportEnd(running, balance::JobResult::Answered, std::chrono::milliseconds(100));
+    fixture.coordinator.receive(reportOf(fixture.host, "host"), hostAddress);
+    fixture.coordinator.tick();
+    fixture.sendToHost();
+    CHECK(fixture.observer.placed.contains(waiting));
+}
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -35,6 +35,7 @@
     std::uint64_t lastJob = 0;
     RequestLog& requestLog;
     RequestMetrics& metrics;
+    std::size_t activeAttempts = 0; //!< requests that are at a backend server
     //! Longest deadline seen on each route; a retry sends a shorter one, which shows how long its caller has waited.
     std::map<std::string, Duration> longestDeadline;
 };
@@ -55,9 +56,9 @@
 
     //! Closes each caller connection after its next response.
     void startDraining();
-    //! Stops accepting connections.
-    void stopListening() { this->listener.reset(); }
-    //! Closes caller connections without a request; returns the number of connections left.
+    //! Accepts the connections that are already established, and no others.
+    void stopListening();
+    //! Closes caller connections that have had no request for a while; returns the number of connections left.
     std::size_t closeIdleCallerConnections();
 
     //! Refuses all requests that are not placed on a backend server.
--- a/libs/edge/include/edge/HeaderNames.h
+++ b/libs/edge/include/edge/HeaderNames.h
@@ -12,6 +12,7 @@
     std::string expectedServer; //!< id of the server that is to run the request
     std::string notExecuted; //!< set if the server did not execute the request
     std::string key; //!< key of a keyed service
+    std::string leaving; //!< set to 1 by a server that takes no new requests
 };
 
 }
--- a/libs/edge/include/edge/Placer.h
+++ b/libs/edge/include/edge/Placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/Job.h"
+#include "balance/ServerNotice.h"
 
 #include <cstdint>
 #include <string>
@@ -38,6 +39,8 @@
     virtual void withdraw(std::uint64_t job) = 0;
     //! Reports the end of a placed job.
     virtual void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) = 0;
+    //! Reports what the server of a placed job announced about itself. Returns whether it was not known.
+    virtual bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) = 0;
 };
 
 }
--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -10,6 +10,8 @@
 
 // Idle connections are kept this much longer than announced, since callers use their own clocks.
 constexpr Duration idleTimeoutMargin = std::chrono::seconds(2);
+// A new connection has time to send its first request before a stopping host closes it.
+constexpr Duration minIdleBeforeClose = std::chrono::milliseconds(500);
 // Time for the caller to close its side after the last response.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
 
@@ -27,6 +29,7 @@
     : context(edgeContext)
     , closedCallback(std::move(endCallback))
     , stream(edgeContext.reactor, descriptor, *this)
+    , idleSince(edgeContext.reactor.now())
 {
     auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
     this->startTimer(limits.idleTimeout + idleTimeoutMargin, true);
@@ -276,6 +279,7 @@
     }
     this->request.reset();
     this->parser.reset();
+    this->idleSince = this->context.reactor.now();
     this->headStarted = false;
     this->requestComplete = false;
     this->responseComplete = false;
@@ -305,6 +309,15 @@
     this->close();
 }
 
+// The kernel resets the connection when a request arrives after close(), so that its caller learns that the request was
+// not read. A response that was sent this long ago has arrived.
+void CallerConnection::closeIfIdle()
+{
+    bool inUse = this->request || this->headStarted || this->closing || this->stream.hasPendingInput();
+    if (!inUse && this->context.reactor.now() - this->idleSince >= minIdleBeforeClose)
+        this->close();
+}
+
 void CallerConnection::closeGracefully()
 {
     if (this->closing)
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -15,7 +15,8 @@
     CallerConnection(EdgeContext& context, int descriptor, std::function<void(CallerConnection&)> closedCallback);
     ~CallerConnection() override;
 
-    bool isIdle() const { return !this->request && this->stream.input().empty() && !this->headStarted; }
+    //! Closes the connection unless a request is running, arriving, or likely to be on its way.
+    void closeIfIdle();
     void closeGracefully();
     void expire()
     {
@@ -64,6 +65,7 @@
     bool closeAfterResponse = false;
     bool closing = false;
     bool parsing = false;
+    TimePoint idleSince; //!< when the connection was accepted or the last response was completed
     //! Deferred callbacks hold a weak reference, to detect that the connection was destroyed.
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
     std::optional<net::Reactor::TimerId> timer;
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -1,6 +1,7 @@
 #include "CallerRequest.h"
 
 #include "RequestLog.h"
+#include "ServerNoticeDecoder.h"
 #include "edge/TrafficSplit.h"
 
 #include <algorithm>
@@ -22,8 +23,10 @@
 constexpr std::size_t placementBodyBytes = std::size_t { 256 } * 1024;
 // Reading stops while more bytes than this are unsent towards the backend server or the caller.
 constexpr std::size_t unsentHighWaterMark = std::size_t { 256 } * 1024;
-// Responses up to this size are forwarded only once they are complete.
-constexpr std::size_t responseBufferBytes = std::size_t { 256 } * 1024;
+// Responses up to this size are forwarded only once they are complete; less while many requests run.
+constexpr std::size_t maxResponseBuffer = std::size_t { 256 } * 1024;
+constexpr std::size_t minResponseBuffer = std::size_t { 16 } * 1024;
+constexpr std::size_t responseBufferTotal = std::size_t { 16 } * 1024 * 1024;
 // Servers close connections after 10 s idle. The margin below that protects requests that cannot be retried.
 constexpr Duration maxBackendIdle = std::chrono::seconds(8);
 
@@ -149,8 +152,10 @@
         return;
     }
     if (this->requestBody.end() > this->configuration->limits.maxBodyBytes) {
-        if (!this->forwarding)
-            this->respondLocally(this->mayHaveRun || this->sent ? 502 : 413, {}, "the body is longer than the limit");
+        if (this->forwarding)
+            return;
+        this->withdrawJob();
+        this->respondLocally(this->mayHaveRun || this->sent ? 502 : 413, {}, "the body is longer than the limit");
         return;
     }
     if (this->placed) {
@@ -216,16 +221,26 @@
         this->retryOrRespond(503, errorOf(address).message);
         return;
     }
-    this->connection
-        = &this->context.backends.acquire(target.server + "@" + target.address, valueOf(address), maxBackendIdle);
+    // A second copy of the response to an earlier attempt of this request would have the same id.
+    this->connection = &this->context.backends.acquire(
+        target.server + "@" + target.address, valueOf(address), maxBackendIdle, this->requestId);
     this->bodySent = 0;
     this->bodyFinished = false;
     ++this->context.counters.attempts;
-    this->connection->startRequest(
-        this->requestHead(target.server), this->head.method == "HEAD", responseBufferBytes, *this);
+    ++this->context.activeAttempts;
+    this->attemptActive = true;
+    this->connection->startRequest(this->requestHead(target.server), this->head.method == "HEAD",
+        this->responseBufferLimit(), *this, this->requestId);
     this->onDrained();
 }
 
+// Responses are buffered for many requests at once, so each gets less of the memory when there are more of them.
+std::size_t CallerRequest::responseBufferLimit() const
+{
+    auto share = responseBufferTotal / std::max<std::size_t>(1, this->context.activeAttempts);
+    return std::clamp(share, minResponseBuffer, maxResponseBuffer);
+}
+
 void CallerRequest::onDrained()
 {
     this->sendBufferedBody();
@@ -281,10 +296,40 @@
     this->connection->finishRequest();
 }
 
-bool CallerRequest::acceptsResponse(const http::MessageHead& response)
+bool CallerRequest::isNotExecuted(const http::MessageHead& response) const
 {
-    const auto* id = response.headers.find(this->context.names.requestId);
-    return !id || *id == this->requestId;
+    return response.headers.find(this->context.names.notExecuted) != nullptr || response.status == 421;
+}
+
+client::ResponseMatch CallerRequest::matchResponse(const http::MessageHead& response)
+{
+    this->reportNotice(response);
+    const auto& names = this->context.names;
+    const auto* id = response.headers.find(names.requestId);
+    if (id && *id != this->requestId)
+        return client::ResponseMatch::Skip;
+    if (this->isNotExecuted(response))
+        return client::ResponseMatch::Accept;
+    bool isSigned = response.headers.find(names.signature) != nullptr;
+    if (!id || (!isSigned && response.status < 300) || response.headers.find("Content-Encoding") != nullptr)
+        return client::ResponseMatch::Reject;
+    return client::ResponseMatch::Accept;
+}
+
+// Also for the late response to an earlier request, since it comes from the same server.
+void CallerRequest::reportNotice(const http::MessageHead& response)
+{
+    auto decoded = decodeServerNotice(response, this->context.names);
+    if (!decoded.invalidRetryAfter.empty())
+        this->logOutcome("retry-after-ignored", response.status,
+            "not a number of seconds: " + decoded.invalidRetryAfter + "; the server should send whole seconds");
+    if (decoded.notice.isEmpty())
+        return;
+    bool isNew = this->context.placer.reportNotice(this->job, decoded.notice);
+    if (isNew && decoded.notice.leaving)
+        this->context.events.record(timeline::Severity::Info, "server",
+            { { "server", this->server }, { "change", "leaving" }, { "source", "response" },
+                { "request", this->requestId } });
 }
 
 void CallerRequest::onResponse(const http::MessageHead& response, std::string_view bytes, bool complete)
@@ -293,18 +338,14 @@
         this->sink.forwardResponse(response, bytes, complete, false);
         if (complete) {
             this->connection = nullptr;
-            this->endAttempt(balance::JobResult::Answered);
-            ++this->context.counters.answered;
-            this->finish(RequestOutcome::Answered);
-        } else if (this->sink.unsentBytes() > unsentHighWaterMark)
+            this->endWithResponse(response);
+        } else if (this->sink.unsentBytes() > this->responseBufferLimit())
             this->connection->setReading(false);
         return;
     }
     if (complete)
         this->connection = nullptr;
-    const auto& names = this->context.names;
-    bool notExecuted = response.headers.find(names.notExecuted) != nullptr || response.status == 421;
-    if (notExecuted) {
+    if (this->isNotExecuted(response)) {
         if (this->connection)
             this->connection->abort();
         this->connection = nullptr;
@@ -312,23 +353,15 @@
         this->retryOrRespond(503, "the backend server did not run it (" + std::to_string(response.status) + ")");
         return;
     }
-    bool signedResponse = response.headers.find(names.signature) != nullptr;
-    bool matchesRequest = response.headers.find(names.requestId) != nullptr;
-    if (!matchesRequest || (!signedResponse && response.status < 300)
-        || response.headers.find("Content-Encoding") != nullptr) {
-        if (this->connection)
-            this->connection->abort();
-        this->connection = nullptr;
-        this->endAttempt(balance::JobResult::Lost);
-        this->mayHaveRun = true;
-        this->retryOrRespond(502, "the response is not a signed response to this request");
-        return;
-    }
-    bool serverFailed = response.status >= 500;
     this->forwarding = true;
     this->sink.forwardResponse(response, bytes, complete, true);
-    if (!complete)
-        return;
+    if (complete)
+        this->endWithResponse(response);
+}
+
+void CallerRequest::endWithResponse(const http::MessageHead& response)
+{
+    bool serverFailed = response.status >= 500;
     this->endAttempt(serverFailed ? balance::JobResult::ServerError : balance::JobResult::Answered);
     ++this->context.counters.answered;
     this->finish(serverFailed ? RequestOutcome::ServerFailed : RequestOutcome::Answered);
@@ -360,6 +393,9 @@
     // A key has one owner, so retries go to the same server.
     if (!this->key && result != balance::JobResult::Answered)
         this->tried.push_back(this->server);
+    if (this->attemptActive)
+        --this->context.activeAttempts;
+    this->attemptActive = false;
     auto ended = this->job;
     this->job = 0;
     this->placed = false;
@@ -422,19 +458,24 @@
         this->respondLocally(this->mayHaveRun ? 504 : 503, {}, "no response within the time limit");
         return;
     }
-    if (this->job != 0)
-        this->context.placer.withdraw(this->job);
-    this->job = 0;
+    this->withdrawJob();
     this->respondLocally(this->mayHaveRun ? 504 : 503, {}, "no backend server within the time limit");
 }
 
+// Cancels a job that waits for a server.
+void CallerRequest::withdrawJob()
+{
+    if (this->job != 0 && !this->placed) {
+        this->context.placer.withdraw(this->job);
+        this->job = 0;
+    }
+}
+
 void CallerRequest::refuseUnlessPlaced()
 {
     if (this->finished || this->placed)
         return;
-    if (this->job != 0)
-        this->context.placer.withdraw(this->job);
-    this->job = 0;
+    this->withdrawJob();
     this->respondLocally(this->mayHaveRun ? 502 : 503, std::chrono::milliseconds(50), "this host stops");
 }
 
@@ -459,9 +500,8 @@
         this->connection->abort();
         this->connection = nullptr;
         this->endAttempt(balance::JobResult::Abandoned);
-    } else if (this->job != 0)
-        this->context.placer.withdraw(this->job);
-    this->job = 0;
+    }
+    this->withdrawJob();
     this->logOutcome("caller-gone", 0, "the caller closed its connection");
     this->finish(RequestOutcome::CallerGone);
 }
--- a/libs/edge/src/CallerRequest.h
+++ b/libs/edge/src/CallerRequest.h
@@ -52,7 +52,8 @@
     void onPlaced(std::uint64_t job, const PlacementTarget& target) override;
     void onRefused(std::uint64_t job, const PlacementRefusal& refusal) override;
     void onSending() override { this->sent = true; }
-    bool acceptsResponse(const http::MessageHead& head) override;
+    client::ResponseMatch matchResponse(const http::MessageHead& head) override;
+    bool isNotExecuted(const http::MessageHead& response) const;
     void onResponse(const http::MessageHead& head, std::string_view bytes, bool complete) override;
     void onFailure(client::RequestFailure failure, const std::string& reason) override;
     void onDrained() override;
@@ -63,6 +64,10 @@
     void submit();
     std::string requestHead(const std::string& serverId) const;
     void sendBufferedBody();
+    std::size_t responseBufferLimit() const;
+    void reportNotice(const http::MessageHead& response);
+    void withdrawJob();
+    void endWithResponse(const http::MessageHead& response);
     void endAttempt(balance::JobResult result);
     bool mayRetry() const;
     void retryOrRespond(unsigned status, const std::string& reason);
@@ -95,6 +100,7 @@
     std::string decidedBy; //!< coordinator term or host that decided last, for the log
     client::ClientConnection* connection = nullptr;
     bool sent = false;
+    bool attemptActive = false; //!< counted in EdgeContext::activeAttempts
     TimePoint attemptStart {};
     std::uint64_t bodySent = 0;
     bool bodyFinished = false;
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -20,7 +20,7 @@
     , split(std::make_unique<TrafficSplit>())
     , requestLog(std::make_unique<RequestLog>(events, owner.timeSource()))
     , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0,
-        *this->requestLog, this->requestMetrics, {} }
+        *this->requestLog, this->requestMetrics, 0, {} }
 {
 }
 
@@ -69,6 +69,14 @@
     this->connections[key] = std::move(connection);
 }
 
+void EdgeServer::stopListening()
+{
+    if (!this->listener)
+        return;
+    this->listener->acceptPending();
+    this->listener.reset();
+}
+
 void EdgeServer::startDraining()
 {
     this->context.stopping = true;
@@ -96,10 +104,7 @@
 
 std::size_t EdgeServer::closeIdleCallerConnections()
 {
-    this->forEachConnection([](CallerConnection& connection) {
-        if (connection.isIdle())
-            connection.closeGracefully();
-    });
+    this->forEachConnection([](CallerConnection& connection) { connection.closeIfIdle(); });
     return this->connections.size();
 }
 
--- a/libs/edge/tests/EdgeFixture.cpp
+++ b/libs/edge/tests/EdgeFixture.cpp
@@ -18,6 +18,7 @@
     names.expectedServer = "Test-Expected-Server";
     names.notExecuted = "Test-Not-Executed";
     names.key = "Test-Key";
+    names.leaving = "Test-Leaving";
     return names;
 }
 
@@ -87,6 +88,19 @@
     this->changed.notify_all();
 }
 
+bool ScriptedPlacer::reportNotice(std::uint64_t job, const balance::ServerNotice& notice)
+{
+    std::lock_guard lock(this->mutex);
+    this->reportedNotices.push_back({ this->placed[job], notice });
+    return true;
+}
+
+std::vector<ScriptedPlacer::Notice> ScriptedPlacer::notices() const
+{
+    std::lock_guard lock(this->mutex);
+    return this->reportedNotices;
+}
+
 std::vector<ScriptedPlacer::End> ScriptedPlacer::waitForEnds(std::size_t count)
 {
     std::unique_lock lock(this->mutex);
--- a/libs/edge/tests/EdgeFixture.h
+++ b/libs/edge/tests/EdgeFixture.h
@@ -19,15 +19,22 @@
         balance::JobResult result;
     };
 
+    struct Notice {
+        std::string server;
+        balance::ServerNotice notice;
+    };
+
     explicit ScriptedPlacer(std::vector<PlacementTarget> targets);
 
     void submit(const balance::Job& job, PlacementObserver& observer) override;
     void withdraw(std::uint64_t job) override;
     void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
+    bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) override;
 
     //! Waits until `count` jobs have ended.
     std::vector<End> waitForEnds(std::size_t count);
     std::vector<balance::Job> submitted() const;
+    std::vector<Notice> notices() const;
     std::size_t withdrawn() const;
 
 private:
@@ -36,6 +43,7 @@
     std::deque<PlacementTarget> targets; //!< refuses jobs once empty; an empty server id leaves the job waiting
     std::map<std::uint64_t, std::string> placed;
     std::vector<End> ends;
+    std::vector<Notice> reportedNotices;
     std::vector<balance::Job> jobs;
     std::size_t withdrawals = 0;
 };
--- a/libs/edge/tests/RequestTest.cpp
+++ b/libs/edge/tests/RequestTest.cpp
@@ -206,6 +206,13 @@
     CHECK(response.ends_with("whole"));
     CHECK(headerIn(response, "Connection") == "close");
     CHECK(caller.readToEnd().empty());
+    // As the node does while it stops; a connection is closed once it has been idle for half a second.
+    std::size_t left = 1;
+    for (int round = 0; round < 200 && left > 0; ++round) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        edge.run([&left](EdgeServer& running) { left = running.closeIdleCallerConnections(); });
+    }
+    CHECK(left == 0);
     CHECK(idle.readToEnd().empty());
 }
 
--- a/libs/keyspace/include/keyspace/KeyLeaseManager.h
+++ b/libs/keyspace/include/keyspace/KeyLeaseManager.h
@@ -43,6 +43,7 @@
 struct LeaseOrderResponse {
     LeaseOrderResult result = LeaseOrderResult::Unknown;
     std::string handover; //!< releases only; state of the keys for the next owner
+    bool serverLeaving = false; //!< the server announced that it leaves
 };
 
 //! Timing of leases and of the orders that keep them.
--- a/libs/net/include/net/TcpListener.h
+++ b/libs/net/include/net/TcpListener.h
@@ -22,10 +22,13 @@
 
     //! Returns the bound address, including the port assigned by the kernel if port 0 was requested.
     SocketAddress address() const;
+    //! Accepts the connections that the kernel has established. Closing the listener would reset them.
+    void acceptPending();
 
 private:
     TcpListener(Reactor& reactor, int descriptor, AcceptCallback onAccept);
     void onIo(std::uint32_t events) override;
+    void acceptUpTo(int count);
 
     Reactor& reactor;
     int descriptor;
--- a/libs/net/src/TcpListener.cpp
+++ b/libs/net/src/TcpListener.cpp
@@ -56,9 +56,19 @@
     return bound;
 }
 
+void TcpListener::acceptPending()
+{
+    this->acceptUpTo(backlog);
+}
+
 void TcpListener::onIo(std::uint32_t)
 {
-    for (int i = 0; i < acceptBatch; ++i) {
+    this->acceptUpTo(acceptBatch);
+}
+
+void TcpListener::acceptUpTo(int count)
+{
+    for (int i = 0; i < count; ++i) {
         int connection = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (connection < 0)
             return;
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -12,12 +12,15 @@
 
 namespace {
 
-constexpr std::size_t readBufferSize = std::size_t { 64 } * 1024;
+constexpr std::size_t readBufferSize = std::size_t { 16 } * 1024;
 // A connection whose sent bytes stay unacknowledged for this long is closed, since a network partition sends no reset.
 constexpr int unacknowledgedTimeoutMillis = 5'000;
 // A buffer with more consumed bytes than this is compacted.
 constexpr std::size_t compactThreshold = std::size_t { 64 } * 1024;
 
+// An empty buffer with more capacity than this is freed.
+constexpr std::size_t keptCapacity = std::size_t { 8 } * 1024;
+
 void setSocketOptions(int descriptor)
 {
     int one = 1;
@@ -29,6 +32,9 @@
 void discardConsumed(std::string& buffer, std::size_t& start)
 {
     if (start == buffer.size()) {
+        // An idle connection keeps no large buffer.
+        if (buffer.capacity() > keptCapacity)
+            std::string().swap(buffer);
         buffer.clear();
         start = 0;
     } else if (start > compactThreshold) {
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -124,7 +124,7 @@
 void CoordinationTask::handleDatagram(const wire::Datagram& datagram, const std::string& sender)
 {
     bool fromHost = datagram.has_report() || datagram.submits_size() > 0 || datagram.ends_size() > 0
-        || datagram.withdrawals_size() > 0;
+        || datagram.withdrawals_size() > 0 || datagram.notices_size() > 0;
     if (fromHost && this->coordinator) {
         this->coordinator->receive(datagram, sender);
         this->election.peerReported(this->reactor.now());
@@ -165,6 +165,8 @@
     this->hasReceivedBeacon = true;
     this->lastBeaconReceived = this->reactor.now();
     this->placement->setHostCount(beacon.hosts());
+    if (beacon.host_number() != 0)
+        this->placement->setHostNumber(beacon.host_number());
 }
 
 void CoordinationTask::setDirectoryCallbacks(
@@ -263,6 +265,7 @@
     datagram.set_sender(this->incarnation);
     auto* message = datagram.mutable_report();
     this->placement->fillReport(*message);
+    this->placement->fillNotices(datagram);
     message->set_strength(this->processorShare);
     message->set_data_centre(this->dataCentre);
     message->set_directory_term(this->directory.term());
@@ -467,7 +470,7 @@
     auto now = this->reactor.now();
     auto term = this->coordinator->term();
     if (!(order.renewal ? this->election.mayRenewGrants(now) : this->election.mayChangeOwners(now))) {
-        this->coordinator->onOrderResponse(order, { keyspace::LeaseOrderResult::NotSent, {} });
+        this->coordinator->onOrderResponse(order, { keyspace::LeaseOrderResult::NotSent, {}, false });
         return;
     }
     this->leaseOrderSender.send(order, [this, order, term](const keyspace::LeaseOrderResponse& response) {
