Copy the coordinator's state to the hosts in buckets that are compared by digest

The list of servers went out whole in one datagram (43 KB at 540 servers, refused by the kernel near a thousand, thirty fragments on a lossy link), eight hosts a round; plans went out whole every 50 ms times the hosts, 9.75 s at 195; the configuration was read from the store by every host.

Now servers, owners of keys and the configuration are groups of buckets of about a kilobyte. Beacons carry a digest a group; changed buckets go to all hosts at once, and a host that lacks others asks for them by their digests. A bucket is useful by itself, fits a packet, and is the same whoever made it: a new coordinator, or a host that has read the store itself, causes no transfer. Hosts with a coordinator that reaches the store no longer follow the configuration's row. Ruled out: differences by version, which need a full list after each change of the coordinator and keep removed rows.

A datagram that the kernel refuses is counted and logged (sequoia_datagrams_refused_total).

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -2,7 +2,7 @@
 
 #include "balance/Scheduler.h"
 #include "balance/ServerNotice.h"
-#include "coordination/DirectoryHistory.h"
+#include "coordination/StatePublisher.h"
 #include "core/Random.h"
 #include "fleet/Configuration.h"
 #include "fleet/LeavingServers.h"
@@ -41,14 +41,15 @@
     //! Sets the stored plans. Called once; messages are ignored until then.
     void start(std::vector<keyspace::KeyPlan> stored);
     bool isStarted() const { return this->started; }
-    void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
+    //! `text` is the configuration as stored, which hosts that lack it get from here.
+    void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration, const std::string& text);
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
 
     //! Processes a datagram of a host.
     void receive(const wire::Datagram& datagram, const std::string& address);
     void tick();
-    //! Returns the replies since the last call, one datagram for each host.
+    //! Returns the replies since the last call.
     std::vector<OutgoingDatagram> takeReplies();
     std::vector<OutgoingDatagram> makeBeacons(const CoordinatorStatus& status);
     //! Sets the hosts of the preceding coordinator. They get beacons for a short time before they report here.
@@ -83,10 +84,7 @@
         std::uint64_t number = 0;
         TimePoint lastReport {};
         std::map<std::string, unsigned> unmanagedInFlight; //!< jobs by server that this coordinator did not place
-        std::map<std::string, std::uint64_t> planSequences;
-        std::uint64_t directoryVersion = 0; //!< in this coordinator's list; 0 if the host does not have this list
-        TimePoint directorySentAt {};
-        std::map<std::string, TimePoint> plansSentAt; //!< by service
+        std::map<std::string, TimePoint> stateSentAt; //!< when the last request for a group was answered
         double processorShare = 0;
         std::string dataCentre;
         TimePoint firstReport {};
@@ -112,8 +110,10 @@
     void addPlacement(const std::string& address, std::uint64_t job, const std::string& server);
     void addDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     wire::Datagram& replyTo(const std::string& address);
-    void fillPlans(Host& host, wire::Beacon& beacon);
-    void fillDirectory(Host& host, wire::Beacon& beacon, unsigned& fullLists);
+    void publishOwners();
+    void answerStateRequests(Host& host, const wire::Report& report);
+    void addStateDatagrams(const std::string& address, const std::vector<wire::StateBucket>& buckets,
+        std::vector<OutgoingDatagram>& datagrams);
     bool isStable(const Host& host) const;
     bool hasStoreContact(const Host& host) const;
     std::map<std::string, std::uint32_t> standbyRanks(const std::string& ownIncarnation) const;
@@ -132,7 +132,10 @@
     fleet::ServerMap listedServers; //!< as they were set
     fleet::ServerMap servers; //!< with the leaving ones marked as draining
     fleet::LeavingServers leavingServers;
-    DirectoryHistory directory;
+    StatePublisher publisher;
+    std::uint64_t stateSequence = 0;
+    std::size_t stateBytesLeft = 0; //!< that answers to requests may take until the next beacons
+    std::vector<OutgoingDatagram> stateReplies;
     std::map<std::string, KeyedService, std::less<>> keyedServices;
     std::map<std::string, Host> hosts; //!< by incarnation
     std::map<std::uint64_t, std::string> addressOfHost;
--- a/libs/coordination/include/coordination/KeyPlanCache.h
+++ b/libs/coordination/include/coordination/KeyPlanCache.h
@@ -1,26 +1,32 @@
 #pragma once
 
 #include "balance/OwnerLookup.h"
-#include "keyspace/KeyPlan.h"
+#include "core/Error.h"
 
 #include <map>
+#include <peer.pb.h>
 #include <string>
+#include <vector>
 
 namespace sequoia::coordination {
 
-//! The last key plan of each service that the coordinator sent. Used while the coordinator does not respond.
+//! The owners of the keys of each service, as last received from the coordinator. Used while the coordinator does not
+//! respond.
 class KeyPlanCache final : public balance::OwnerLookup {
 public:
-    //! Ignores a plan that is older than the cached one.
-    void update(keyspace::KeyPlan plan);
-    std::uint64_t sequenceOf(const std::string& service) const;
+    //! Applies the encoded buckets of a service. A malformed bucket is refused and the former one kept.
+    Result<Success> update(const std::string& service, const std::vector<std::string>& buckets);
 
     balance::Owner ownerOf(std::string_view service, fleet::Key key) const override;
     std::uint64_t ownerVersion() const override { return this->version; }
-    const std::map<std::string, keyspace::KeyPlan, std::less<>>& plans() const { return this->plansByService; }
 
 private:
-    std::map<std::string, keyspace::KeyPlan, std::less<>> plansByService;
+    struct Bucket {
+        std::string encoded;
+        wire::OwnedRanges ranges;
+    };
+
+    std::map<std::string, std::vector<Bucket>, std::less<>> bucketsByService;
     std::uint64_t version = 0;
 };
 
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -47,7 +47,7 @@
 
     //! Moves the pending messages for the coordinator into the datagram. Returns whether there are any.
     bool takeMessages(wire::Datagram& datagram);
-    //! Fills in the loads and the plan versions of the periodic report.
+    //! Fills in the loads of the periodic report.
     void fillReport(wire::Report& report) const;
     //! Adds all that servers have announced and that is still in force, since earlier messages may have been lost.
     void fillNotices(wire::Datagram& datagram) const;
--- /dev/null
+++ b/libs/coordination/include/coordination/StateEncoding.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/Error.h"
+#include "fleet/ServerEntry.h"
+#include "keyspace/KeyPlan.h"
+
+#include <string>
+#include <vector>
+
+namespace sequoia::coordination {
+
+//! Names of the groups of replicated state.
+inline constexpr const char* serverGroup = "servers";
+inline constexpr const char* configurationGroup = "configuration";
+std::string ownerGroup(const std::string& service);
+//! Returns the service of an owner group, or an empty text for another group.
+std::string serviceOfOwnerGroup(const std::string& group);
+
+//! Encodes a list of backend servers. Equal lists have equal buckets on all hosts; the remaining warm-up, which changes
+//! with each heartbeat, is left out.
+std::vector<std::string> encodeServers(const fleet::ServerMap& servers);
+Result<fleet::ServerMap> decodeServers(const std::vector<std::string>& buckets);
+
+//! Encodes who owns the keys of a service.
+std::vector<std::string> encodeOwners(const keyspace::KeyPlan& plan);
+
+//! Encodes a text of any length, such as a configuration.
+std::vector<std::string> encodeText(const std::string& text);
+std::string decodeText(const std::vector<std::string>& buckets);
+
+}
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordination/Coordinator.h"
 
 #include "coordination/JobMessages.h"
+#include "coordination/StateEncoding.h"
 
 #include <algorithm>
 #include <limits>
@@ -15,14 +16,13 @@
 constexpr Duration hostTimeout = std::chrono::milliseconds(1500);
 // Interval between updates of the key loads and server capacities.
 constexpr Duration keyLoadInterval = std::chrono::milliseconds(250);
-// Intervals at which a plan is resent to a host. The shortest one is longer than a report takes to arrive.
-constexpr Duration minPlanInterval = std::chrono::milliseconds(500);
-constexpr Duration planIntervalPerHost = std::chrono::milliseconds(50);
 // A host counts as stable once it has reported for this time.
 constexpr Duration minStableTime = std::chrono::seconds(2);
-constexpr Duration directoryResendInterval = std::chrono::milliseconds(350);
-// The full list has some 80 bytes per server, so only this many hosts get it with each round of beacons.
-constexpr unsigned maxFullListsPerRound = 8;
+// A host reports the buckets that it lacks until it has received them, so an answer is not repeated sooner than this.
+constexpr Duration stateResendInterval = std::chrono::milliseconds(250);
+// Answers to requests for state between two rounds of beacons: about seven megabits a second, so that placements on the
+// same link are not delayed.
+constexpr std::size_t maxStateBytesPerRound = std::size_t { 128 } * 1024;
 // Number of standbys, which take over first when the coordinator is lost; several, since some may be lost with it.
 constexpr std::size_t standbyCount = 3;
 // Interval at which standbys get the addresses of all hosts, so their copy is about this old at most. The addresses of
@@ -54,9 +54,10 @@
     this->started = true;
 }
 
-void Coordinator::setConfiguration(std::shared_ptr<const fleet::Configuration> current)
+void Coordinator::setConfiguration(std::shared_ptr<const fleet::Configuration> current, const std::string& text)
 {
     this->configuration = std::move(current);
+    this->publisher.publish(configurationGroup, encodeText(text));
 }
 
 void Coordinator::setServers(const fleet::ServerMap& listed)
@@ -70,7 +71,7 @@
     auto now = this->clock.now();
     this->servers = this->listedServers;
     this->leavingServers.apply(this->servers, now);
-    this->directory.update(this->servers);
+    this->publisher.publish(serverGroup, encodeServers(this->servers));
     this->scheduler.setServers(this->servers, now);
     for (auto& [service, entry] : this->keyedServices) {
         fleet::ServerMap serversOfService;
@@ -122,6 +123,8 @@
     for (auto& [address, datagram] : this->replies)
         result.push_back({ address, std::move(datagram) });
     this->replies.clear();
+    std::move(this->stateReplies.begin(), this->stateReplies.end(), std::back_inserter(result));
+    this->stateReplies.clear();
     return result;
 }
 
@@ -229,13 +232,9 @@
     host.unmanagedInFlight.clear();
     for (const auto& load : report.loads())
         host.unmanagedInFlight[load.server()] += load.in_flight();
-    host.planSequences.clear();
-    for (int i = 0; i < report.plan_services_size() && i < report.plan_sequences_size(); ++i)
-        host.planSequences[report.plan_services(i)] = report.plan_sequences(i);
     host.processorShare = report.strength();
     host.dataCentre = report.data_centre();
     host.leaving = report.leaving();
-    host.directoryVersion = report.directory_term() == this->currentTerm ? report.directory_version() : 0;
     if (report.store_contact_age_ms() < storeContactTimeoutMs) {
         this->peerStoreContact = true;
         host.lastStoreContact = this->clock.now() - fromMillis(report.store_contact_age_ms());
@@ -246,6 +245,45 @@
             inFlightElsewhere[server] += count;
     }
     this->scheduler.setOtherHostsInFlight(inFlightElsewhere);
+    this->answerStateRequests(host, report);
+}
+
+void Coordinator::answerStateRequests(Host& host, const wire::Report& report)
+{
+    auto now = this->clock.now();
+    for (const auto& request : report.state_requests()) {
+        auto& sentAt = host.stateSentAt[request.group()];
+        if (sentAt != TimePoint() && now - sentAt < stateResendInterval)
+            continue;
+        auto buckets = this->publisher.differences(request);
+        std::size_t fitting = 0;
+        while (fitting < buckets.size() && buckets[fitting].content().size() <= this->stateBytesLeft)
+            this->stateBytesLeft -= buckets[fitting++].content().size();
+        if (fitting == 0)
+            continue;
+        sentAt = now;
+        buckets.resize(fitting);
+        this->addStateDatagrams(host.address, buckets, this->stateReplies);
+    }
+}
+
+void Coordinator::addStateDatagrams(
+    const std::string& address, const std::vector<wire::StateBucket>& buckets, std::vector<OutgoingDatagram>& datagrams)
+{
+    for (auto& datagram : splitBuckets(buckets)) {
+        datagram.set_sequence(++this->stateSequence);
+        datagrams.push_back({ address, std::move(datagram) });
+    }
+}
+
+void Coordinator::publishOwners()
+{
+    for (auto& [service, entry] : this->keyedServices) {
+        if (entry.publishedVersion == entry.leaseManager->version())
+            continue;
+        entry.publishedVersion = entry.leaseManager->version();
+        this->publisher.publish(ownerGroup(service), encodeOwners(entry.leaseManager->plan()));
+    }
 }
 
 bool Coordinator::takePeerStoreContact()
@@ -360,7 +398,9 @@
 std::vector<OutgoingDatagram> Coordinator::makeBeacons(const CoordinatorStatus& status)
 {
     std::vector<OutgoingDatagram> result;
-    unsigned fullLists = 0;
+    this->stateBytesLeft = maxStateBytesPerRound;
+    this->publishOwners();
+    auto changes = this->publisher.takeChanges();
     auto ranks = this->standbyRanks(status.ownIncarnation);
     if (this->started && this->clock.now() < this->predecessorHostsUntil) {
         std::set<std::string> reportingAddresses;
@@ -388,35 +428,19 @@
             beacon->set_heir_rank(rank->second);
             this->fillHostAddresses(host, *beacon);
         }
-        this->fillDirectory(host, *beacon, fullLists);
+        outgoing.datagram.set_sequence(++this->stateSequence);
+        this->publisher.fillDigests(*beacon);
         beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
         beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
         beacon->set_resigned(status.resigned);
         beacon->set_host_number(host.number);
-        this->fillPlans(host, *beacon);
+        // Changes go before the digests that cover them.
+        this->addStateDatagrams(host.address, changes, result);
         result.push_back(std::move(outgoing));
     }
     return result;
 }
 
-// Hosts need the plan only while they place jobs locally, and it has some ten kilobytes for a hundred servers. So the
-// interval grows with the number of hosts.
-void Coordinator::fillPlans(Host& host, wire::Beacon& beacon)
-{
-    auto now = this->clock.now();
-    auto interval = std::max(minPlanInterval, planIntervalPerHost * static_cast<std::int64_t>(this->hosts.size()));
-    for (const auto& [service, entry] : this->keyedServices) {
-        auto known = host.planSequences.find(service);
-        if (known != host.planSequences.end() && known->second == entry.leaseManager->plan().sequence)
-            continue;
-        auto& sent = host.plansSentAt[service];
-        if (sent != TimePoint() && now - sent < interval)
-            continue;
-        sent = now;
-        *beacon.add_plans() = entry.leaseManager->plan().toWire();
-    }
-}
-
 bool Coordinator::isStable(const Host& host) const
 {
     return !host.leaving && this->clock.now() - host.firstReport >= minStableTime;
@@ -447,21 +471,6 @@
     return largest;
 }
 
-void Coordinator::fillDirectory(Host& host, wire::Beacon& beacon, unsigned& fullLists)
-{
-    auto now = this->clock.now();
-    beacon.set_directory_version(this->directory.version());
-    if (host.directoryVersion == this->directory.version())
-        return;
-    // An update is resent only after the host has had time to report the version it received.
-    if (now - host.directorySentAt < directoryResendInterval)
-        return;
-    if (host.directoryVersion == 0 && ++fullLists > maxFullListsPerRound)
-        return;
-    host.directorySentAt = now;
-    *beacon.mutable_directory() = this->directory.changesSince(host.directoryVersion);
-}
-
 std::vector<keyspace::KeyPlan> Coordinator::takePlanWrites()
 {
     return std::exchange(this->planWrites, {});
--- a/libs/coordination/src/KeyPlanCache.cpp
+++ b/libs/coordination/src/KeyPlanCache.cpp
@@ -2,33 +2,43 @@
 
 namespace sequoia::coordination {
 
-void KeyPlanCache::update(keyspace::KeyPlan plan)
+Result<Success> KeyPlanCache::update(const std::string& service, const std::vector<std::string>& encoded)
 {
-    auto found = this->plansByService.find(plan.service);
-    if (found != this->plansByService.end()
-        && std::pair(plan.term, plan.sequence) < std::pair(found->second.term, found->second.sequence))
-        return;
+    auto& buckets = this->bucketsByService[service];
+    buckets.resize(encoded.size());
     ++this->version;
-    this->plansByService[plan.service] = std::move(plan);
-}
-
-std::uint64_t KeyPlanCache::sequenceOf(const std::string& service) const
-{
-    auto found = this->plansByService.find(service);
-    return found == this->plansByService.end() ? 0 : found->second.sequence;
+    bool malformed = false;
+    for (std::size_t i = 0; i < encoded.size(); ++i) {
+        if (buckets[i].encoded == encoded[i])
+            continue;
+        wire::OwnedRanges ranges;
+        if (!ranges.ParseFromString(encoded[i])) {
+            malformed = true;
+            continue;
+        }
+        buckets[i] = { encoded[i], std::move(ranges) };
+    }
+    if (malformed)
+        return Error { ErrorKind::MalformedMessage, "a part of the owners of " + service + " is malformed",
+            "check that all hosts run the same version" };
+    return Success {};
 }
 
 balance::Owner KeyPlanCache::ownerOf(std::string_view service, fleet::Key key) const
 {
-    auto found = this->plansByService.find(service);
-    if (found == this->plansByService.end())
-        return { balance::Ownership::Unowned, {} };
-    const auto& range = found->second.ranges[found->second.rangeIndexOf(key)];
-    if (range.successor)
-        return { balance::Ownership::Moving, {} };
-    if (range.owner.id.empty())
+    auto found = this->bucketsByService.find(service);
+    if (found == this->bucketsByService.end() || found->second.empty())
         return { balance::Ownership::Unowned, {} };
-    return { balance::Ownership::Owned, range.owner.id };
+    const auto& bucket = found->second[std::size_t(key) * found->second.size() / fleet::keyCount];
+    for (const auto& range : bucket.ranges.ranges()) {
+        if (key < range.first() || key > range.last())
+            continue;
+        if (range.moving())
+            return { balance::Ownership::Moving, {} };
+        if (!range.owner().empty())
+            return { balance::Ownership::Owned, range.owner() };
+    }
+    return { balance::Ownership::Unowned, {} };
 }
 
 }
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -386,10 +386,6 @@
         entry->set_server(server);
         entry->set_in_flight(count);
     }
-    for (const auto& [service, plan] : this->planCache.plans()) {
-        report.add_plan_services(service);
-        report.add_plan_sequences(plan.sequence);
-    }
 }
 
 }
--- /dev/null
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -0,0 +1,119 @@
+#include "coordination/StateEncoding.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace sequoia::coordination {
+
+namespace {
+
+// With a thousand servers, a bucket of them has about a kilobyte, which fits a network packet.
+constexpr std::size_t serverBuckets = 64;
+constexpr std::size_t ownerBuckets = 64;
+constexpr std::size_t keysPerBucket = fleet::keyCount / ownerBuckets;
+constexpr std::size_t textBucketBytes = 1000;
+constexpr std::string_view ownerPrefix = "owners/";
+
+void fillRow(const fleet::ServerEntry& entry, wire::ServerRow& row)
+{
+    row.set_id(entry.instance.id);
+    row.set_born_ms(entry.instance.startMillis);
+    row.set_service(entry.service);
+    row.set_address(entry.address);
+    row.set_data_centre(entry.dataCentre);
+    row.set_slots(entry.slots);
+    row.set_draining(entry.state == fleet::ServerState::Draining);
+}
+
+}
+
+std::string ownerGroup(const std::string& service)
+{
+    return std::string(ownerPrefix) + service;
+}
+
+std::string serviceOfOwnerGroup(const std::string& group)
+{
+    return group.starts_with(ownerPrefix) ? group.substr(ownerPrefix.size()) : std::string();
+}
+
+std::vector<std::string> encodeServers(const fleet::ServerMap& servers)
+{
+    std::vector<wire::ServerRows> rows(serverBuckets);
+    for (const auto& [id, entry] : servers)
+        fillRow(entry, *rows[XXH3_64bits(id.data(), id.size()) % serverBuckets].add_rows());
+    std::vector<std::string> buckets;
+    for (const auto& bucket : rows)
+        buckets.push_back(bucket.SerializeAsString());
+    return buckets;
+}
+
+Result<fleet::ServerMap> decodeServers(const std::vector<std::string>& buckets)
+{
+    fleet::ServerMap servers;
+    for (const auto& bucket : buckets) {
+        wire::ServerRows rows;
+        if (!rows.ParseFromString(bucket))
+            return Error { ErrorKind::MalformedMessage, "a part of the list of servers is malformed",
+                "check that all hosts run the same version" };
+        for (const auto& row : rows.rows()) {
+            fleet::ServerEntry entry;
+            entry.instance = { row.id(), row.born_ms() };
+            entry.service = row.service();
+            entry.address = row.address();
+            entry.dataCentre = row.data_centre();
+            entry.slots = std::max(1U, row.slots());
+            entry.state = row.draining() ? fleet::ServerState::Draining : fleet::ServerState::Ready;
+            servers[row.id()] = entry;
+        }
+    }
+    return servers;
+}
+
+std::vector<std::string> encodeOwners(const keyspace::KeyPlan& plan)
+{
+    std::vector<wire::OwnedRanges> buckets(ownerBuckets);
+    for (const auto& range : plan.ranges) {
+        bool moving = range.successor.has_value();
+        // A bucket repeats no fences, so that it stays the same when a new coordinator raises them.
+        const auto& owner = moving ? std::string() : range.owner.id;
+        for (std::size_t first = range.keys.first; first <= range.keys.last;) {
+            auto& bucket = buckets[first / keysPerBucket];
+            auto last = std::min<std::size_t>(range.keys.last, (first / keysPerBucket + 1) * keysPerBucket - 1);
+            auto* previous = bucket.ranges_size() > 0 ? bucket.mutable_ranges(bucket.ranges_size() - 1) : nullptr;
+            if (previous && previous->owner() == owner && previous->moving() == moving)
+                previous->set_last(static_cast<std::uint32_t>(last));
+            else {
+                auto* added = bucket.add_ranges();
+                added->set_first(static_cast<std::uint32_t>(first));
+                added->set_last(static_cast<std::uint32_t>(last));
+                added->set_owner(owner);
+                added->set_moving(moving);
+            }
+            first = last + 1;
+        }
+    }
+    std::vector<std::string> result;
+    for (const auto& bucket : buckets)
+        result.push_back(bucket.SerializeAsString());
+    return result;
+}
+
+std::vector<std::string> encodeText(const std::string& text)
+{
+    // An empty text has one bucket, since a group without buckets cannot be sent.
+    std::vector<std::string> buckets { text.substr(0, textBucketBytes) };
+    for (std::size_t at = textBucketBytes; at < text.size(); at += textBucketBytes)
+        buckets.push_back(text.substr(at, textBucketBytes));
+    return buckets;
+}
+
+std::string decodeText(const std::vector<std::string>& buckets)
+{
+    std::string text;
+    for (const auto& bucket : buckets)
+        text += bucket;
+    return text;
+}
+
+}
--- a/libs/net/include/net/UdpSocket.h
+++ b/libs/net/include/net/UdpSocket.h
@@ -21,8 +21,8 @@
     UdpSocket(const UdpSocket&) = delete;
     UdpSocket& operator=(const UdpSocket&) = delete;
 
-    //! Best effort: a datagram that the kernel does not accept is dropped.
-    void send(std::string_view bytes, const SocketAddress& target);
+    //! Best effort: a datagram that the kernel does not accept is lost. The error says why.
+    Result<Success> send(std::string_view bytes, const SocketAddress& target);
 
 private:
     UdpSocket(Reactor& reactor, int descriptor, ReceiveCallback onReceive);
--- a/libs/net/src/UdpSocket.cpp
+++ b/libs/net/src/UdpSocket.cpp
@@ -45,9 +45,18 @@
     close(this->descriptor);
 }
 
-void UdpSocket::send(std::string_view bytes, const SocketAddress& target)
+Result<Success> UdpSocket::send(std::string_view bytes, const SocketAddress& target)
 {
-    sendto(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL, target.pointer(), sizeof target.value);
+    ssize_t sent
+        = sendto(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL, target.pointer(), sizeof target.value);
+    if (sent == static_cast<ssize_t>(bytes.size()))
+        return Success {};
+    std::string reason = sent < 0 ? std::strerror(errno) : "sent in part";
+    return Error {
+        ErrorKind::Unavailable,
+        "cannot send " + std::to_string(bytes.size()) + " bytes to " + target.toString() + ": " + reason,
+        "the message is lost as on a lossy link; if this persists, check the route to the host and the socket buffers"
+    };
 }
 
 void UdpSocket::onIo(std::uint32_t)
--- a/programs/node/src/ConfigurationWatcher.cpp
+++ b/programs/node/src/ConfigurationWatcher.cpp
@@ -14,8 +14,10 @@
 constexpr std::int64_t followWaitMs = 1200;
 // Used while the coordinator announces the newest version, so that a change that the feed missed is detected anyway.
 constexpr std::int64_t longFollowWaitMs = 25'000;
-// Minimum interval between reads after an announced version, and when contact with the coordinator is lost.
-constexpr Duration readInterval = std::chrono::milliseconds(400);
+// A version that was announced arrives from the coordinator within this time, or the host reads it from the store; also
+// the first interval between such reads, doubled with each failure.
+constexpr Duration announcedReadDelay = std::chrono::milliseconds(500);
+// Minimum interval between reads when contact with the coordinator is lost.
 constexpr Duration readIntervalWithoutCoordinator = std::chrono::milliseconds(1000);
 // Exponential backoff, since calls that the store refuses cost as much as others.
 constexpr Duration minRetryInterval = std::chrono::milliseconds(200);
@@ -37,21 +39,43 @@
     this->readAll();
 }
 
-void ConfigurationWatcher::setCoordinatorActive(bool active)
+void ConfigurationWatcher::setSource(Source newSource)
 {
-    this->coordinatorActive = active;
+    bool wasReceiving = this->source == Source::Coordinator;
+    this->source = newSource;
+    if (newSource == Source::Coordinator || this->readInProgress)
+        return;
     // A long wait in progress would not detect a stalled connection in time.
-    if (!active && !this->readInProgress && this->reactor.now() - this->lastRead >= readIntervalWithoutCoordinator)
+    bool mustRead
+        = newSource == Source::Store && this->reactor.now() - this->lastRead >= readIntervalWithoutCoordinator;
+    if (mustRead || (wasReceiving && !this->hasReadTable))
         this->readAll();
+    else if (wasReceiving)
+        this->follow();
 }
 
 void ConfigurationWatcher::onVersionAnnounced(std::uint64_t version)
 {
-    bool known = this->configuration && version <= this->configuration->version;
-    if (!known && !this->readInProgress && this->reactor.now() - this->lastRead >= readInterval)
+    auto now = this->reactor.now();
+    if (this->configuration && version <= this->configuration->version) {
+        this->missingSince.reset();
+        return;
+    }
+    if (!this->missingSince)
+        this->missingSince = now;
+    auto delay = std::min(announcedReadDelay * (1U << std::min(this->failures, 5U)), maxRetryInterval);
+    if (!this->readInProgress && now - *this->missingSince >= announcedReadDelay && now - this->lastRead >= delay)
         this->readAll();
 }
 
+void ConfigurationWatcher::applyReceived(const std::string& text)
+{
+    if (text == this->lastReceivedText)
+        return;
+    this->lastReceivedText = text;
+    this->applyText(text, "coordinator");
+}
+
 void ConfigurationWatcher::readAll()
 {
     this->readInProgress = true;
@@ -69,11 +93,12 @@
 
 void ConfigurationWatcher::follow()
 {
-    if (this->waitInProgress)
+    if (this->waitInProgress || this->source == Source::Coordinator)
         return;
     this->waitInProgress = true;
     this->store.waitForChanges(std::string(platform_adapter::operatorTable), this->lastStoreVersion,
-        this->coordinatorActive ? longFollowWaitMs : followWaitMs, [this](Result<store::RowSet> rowSet) {
+        this->source == Source::StoreWithCoordinator ? longFollowWaitMs : followWaitMs,
+        [this](Result<store::RowSet> rowSet) {
             this->waitInProgress = false;
             if (succeeded(rowSet))
                 this->applyRows(valueOf(rowSet));
@@ -93,6 +118,8 @@
     }
     auto retryDelay = std::min(minRetryInterval * (1U << std::min(this->failures++, 5U)), maxRetryInterval);
     this->reactor.scheduleAfter(retryDelay, [this] {
+        if (this->source == Source::Coordinator)
+            return;
         if (this->hasReadTable)
             this->follow();
         else if (!this->readInProgress)
@@ -112,24 +139,30 @@
     for (const auto& row : rowSet.rows) {
         if (row.name.key != platform_adapter::configurationKey || row.removed)
             continue;
-        auto decoded = platform_adapter::decodeConfiguration(row.value);
-        if (!succeeded(decoded)) {
-            this->events.record(timeline::Severity::Error, "configuration_refused",
-                { { "row_version", std::to_string(row.version) }, { "reason", errorOf(decoded).message },
-                    { "remedy", errorOf(decoded).remedy } });
-            continue;
-        }
-        auto& decodedConfiguration = valueOf(decoded);
-        if (this->configuration && decodedConfiguration->version <= this->configuration->version)
-            continue;
-        this->events.record(timeline::Severity::Info, "configuration",
-            { { "version", std::to_string(decodedConfiguration->version) },
-                { "routes", std::to_string(decodedConfiguration->routeCount()) },
-                { "before", std::to_string(this->configuration ? this->configuration->version : 0) } });
-        this->configuration = decodedConfiguration;
-        this->changed(decodedConfiguration);
+        this->applyText(row.value, "row version " + std::to_string(row.version));
     }
     this->follow();
 }
 
+void ConfigurationWatcher::applyText(const std::string& text, const std::string& origin)
+{
+    auto decoded = platform_adapter::decodeConfiguration(text);
+    if (!succeeded(decoded)) {
+        this->events.record(timeline::Severity::Error, "configuration_refused",
+            { { "origin", origin }, { "reason", errorOf(decoded).message }, { "remedy", errorOf(decoded).remedy } });
+        return;
+    }
+    auto& decodedConfiguration = valueOf(decoded);
+    if (this->configuration && decodedConfiguration->version <= this->configuration->version)
+        return;
+    this->events.record(timeline::Severity::Info, "configuration",
+        { { "version", std::to_string(decodedConfiguration->version) },
+            { "routes", std::to_string(decodedConfiguration->routeCount()) },
+            { "before", std::to_string(this->configuration ? this->configuration->version : 0) },
+            { "origin", origin } });
+    this->configuration = decodedConfiguration;
+    this->missingSince.reset();
+    this->changed(decodedConfiguration, text);
+}
+
 }
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -7,22 +7,34 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace sequoia::node {
 
 //! Follows the configuration's row in the store and keeps the newest version. Never returns to an older one.
 class ConfigurationWatcher {
 public:
-    using ChangeCallback = std::function<void(std::shared_ptr<const fleet::Configuration>)>;
+    //! `text` is the configuration as stored.
+    using ChangeCallback
+        = std::function<void(const std::shared_ptr<const fleet::Configuration>&, const std::string& text)>;
+
+    //! Where the newest configuration comes from.
+    enum class Source {
+        Coordinator, //!< The coordinator reaches the store and sends each change.
+        StoreWithCoordinator, //!< The coordinator is alive, but may not reach the store.
+        Store,
+    };
 
     ConfigurationWatcher(
         net::Reactor& reactor, store::RowStore& store, timeline::EventLog& events, ChangeCallback changed);
 
     void start();
-    //! Sets whether the coordinator announces the newest version; the row is then followed with long waits.
-    void setCoordinatorActive(bool active);
-    //! Reads the row if the version that the coordinator announced is newer than the current one.
+    void setSource(Source source);
+    //! Reads the row if the coordinator has announced a newer version than the current one for a while.
     void onVersionAnnounced(std::uint64_t version);
+    //! Takes a configuration from the coordinator.
+    void applyReceived(const std::string& text);
     const std::shared_ptr<const fleet::Configuration>& current() const { return this->configuration; }
     //! When the store last answered.
     TimePoint lastStoreContact() const { return this->lastStoreResponse; }
@@ -32,6 +44,7 @@
     void follow();
     void retry(const Error& error);
     void applyRows(const store::RowSet& rowSet);
+    void applyText(const std::string& text, const std::string& origin);
 
     net::Reactor& reactor;
     store::RowStore& store;
@@ -39,7 +52,9 @@
     ChangeCallback changed;
     std::shared_ptr<const fleet::Configuration> configuration;
     store::RowVersion lastStoreVersion = 0;
-    bool coordinatorActive = false;
+    Source source = Source::Store;
+    std::string lastReceivedText;
+    std::optional<TimePoint> missingSince; //!< when a version that this host lacks was first announced
     bool waitInProgress = false;
     bool readInProgress = false;
     TimePoint lastRead {};
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -42,7 +42,7 @@
         });
     if (!succeeded(socket))
         return errorOf(socket);
-    task->socket = std::move(valueOf(socket));
+    task->sender.setSocket(std::move(valueOf(socket)));
     return task;
 }
 
@@ -60,7 +60,9 @@
     , keyLeaseOptions(makeKeyLeaseOptions(settings))
     , random(systemSeededEngine())
     , election(ownIncarnation, this->address, makeElectionOptions(settings), this->random)
+    , sender(owner, log)
     , leaseOrderSender(owner)
+    , receivedState(log)
 {
     this->placement = std::make_unique<coordination::PlacementClient>(
         owner.timeSource(), this->schedulerOptions, [this] { this->scheduleFlush(); });
@@ -73,16 +75,20 @@
     this->tick();
 }
 
-void CoordinationTask::setConfiguration(const std::shared_ptr<const fleet::Configuration>& current)
+void CoordinationTask::setConfiguration(
+    const std::shared_ptr<const fleet::Configuration>& current, const std::string& text)
 {
     this->configuration = current;
+    this->configurationText = text;
+    this->receivedState.assignConfiguration(text);
     if (this->coordinator)
-        this->coordinator->setConfiguration(current);
+        this->coordinator->setConfiguration(current, text);
 }
 
 void CoordinationTask::setServers(const fleet::ServerMap& listedServers)
 {
     this->servers = listedServers;
+    this->receivedState.assignServers(listedServers);
     this->placement->setServers(listedServers);
     if (this->coordinator) {
         this->coordinator->setServers(listedServers);
@@ -138,6 +144,8 @@
     this->coordinatorTerm = datagram.term();
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender);
+    if (datagram.has_beacon() || datagram.buckets_size() > 0)
+        this->receivedState.apply(datagram, this->coordinator != nullptr, this->reactor.now());
     if (this->hasReceivedBeacon)
         this->placement->onCoordinatorContact(datagram.term());
     this->placement->receive(datagram);
@@ -150,16 +158,6 @@
         { datagram.term(), sender, beacon.resigned(), beacon.heir_rank(), beacon.ask_store() }, this->reactor.now()));
     if (beacon.host_addresses_size() > 0)
         this->knownHosts.assign(beacon.host_addresses().begin(), beacon.host_addresses().end());
-    for (const auto& message : beacon.plans()) {
-        auto plan = keyspace::KeyPlan::fromWire(message);
-        if (succeeded(plan))
-            this->placement->plans().update(std::move(valueOf(plan)));
-        else
-            this->events.record(timeline::Severity::Warn, "plan_refused",
-                { { "service", message.service() }, { "reason", errorOf(plan).message },
-                    { "remedy", errorOf(plan).remedy } });
-    }
-    this->directory.applyBeacon(datagram.term(), beacon, this->reactor.now());
     if (this->onVersionAnnounced)
         this->onVersionAnnounced(beacon.configuration_version());
     this->hasReceivedBeacon = true;
@@ -169,16 +167,22 @@
         this->placement->setHostNumber(beacon.host_number());
 }
 
-void CoordinationTask::setDirectoryCallbacks(
-    ReceivedDirectory::Callback directoryCallback, VersionCallback versionCallback)
+void CoordinationTask::setStateCallbacks(ReceivedState::Callbacks callbacks, VersionCallback versionCallback)
 {
-    this->directory.setCallback(std::move(directoryCallback));
+    callbacks.onOwners = [this](const std::string& service, const std::vector<std::string>& buckets) {
+        auto updated = this->placement->plans().update(service, buckets);
+        if (!succeeded(updated))
+            this->events.record(timeline::Severity::Warn, "plan_refused",
+                { { "service", service }, { "reason", errorOf(updated).message },
+                    { "remedy", errorOf(updated).remedy } });
+    };
+    this->receivedState.setCallbacks(std::move(callbacks));
     this->onVersionAnnounced = std::move(versionCallback);
 }
 
 bool CoordinationTask::hasCurrentDirectory() const
 {
-    return !this->coordinator && this->directory.isCurrent(this->reactor.now());
+    return !this->coordinator && this->receivedState.isCurrent(this->reactor.now());
 }
 
 bool CoordinationTask::isCoordinatorAlive() const
@@ -210,11 +214,8 @@
     }
     if (!hasMessages)
         return;
-    auto target = net::SocketAddress::parse(this->election.coordinatorAddress());
-    if (!succeeded(target))
-        return;
     datagram.set_term(this->coordinatorTerm);
-    this->socket->send(datagram.SerializeAsString(), valueOf(target));
+    this->sender.send(datagram, this->election.coordinatorAddress());
 }
 
 void CoordinationTask::sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages)
@@ -227,9 +228,7 @@
             this->handleDatagram(datagram, this->address);
             continue;
         }
-        auto target = net::SocketAddress::parse(message.address);
-        if (succeeded(target))
-            this->socket->send(datagram.SerializeAsString(), valueOf(target));
+        this->sender.send(datagram, message.address);
     }
 }
 
@@ -268,8 +267,7 @@
     this->placement->fillNotices(datagram);
     message->set_strength(this->processorShare);
     message->set_data_centre(this->dataCentre);
-    message->set_directory_term(this->directory.term());
-    message->set_directory_version(this->directory.version());
+    this->receivedState.fillRequests(*message);
     message->set_leaving(this->shuttingDown);
     message->set_store_contact_age_ms(toMillis(this->storeContactAge()));
     if (this->coordinator) {
@@ -279,11 +277,8 @@
         this->sendDatagrams(this->coordinator->takeReplies());
         return;
     }
-    auto target = net::SocketAddress::parse(this->election.coordinatorAddress());
-    if (!succeeded(target))
-        return;
     datagram.set_term(this->coordinatorTerm);
-    this->socket->send(datagram.SerializeAsString(), valueOf(target));
+    this->sender.send(datagram, this->election.coordinatorAddress());
 }
 
 void CoordinationTask::execute(const std::vector<tenure::ElectionOutput>& outputs)
@@ -355,7 +350,7 @@
     this->coordinatorTerm = std::max(this->coordinatorTerm, term);
     this->coordinator = std::make_unique<coordination::Coordinator>(
         this->reactor.timeSource(), term, this->schedulerOptions, this->keyLeaseOptions);
-    this->coordinator->setConfiguration(this->configuration);
+    this->coordinator->setConfiguration(this->configuration, this->configurationText);
     this->coordinator->setServers(this->servers);
     this->coordinator->setPredecessorHosts(this->knownHosts);
     this->loadPlans(term);
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "ReceivedDirectory.h"
+#include "DatagramSender.h"
+#include "ReceivedState.h"
 #include "coordination/Coordinator.h"
 #include "coordination/PlacementClient.h"
 #include "core/Random.h"
-#include "net/UdpSocket.h"
 #include "platform_adapter/LeaseOrderSender.h"
 #include "settings/Settings.h"
 #include "store/RowStore.h"
@@ -31,7 +31,8 @@
     ~CoordinationTask();
 
     void start();
-    void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration);
+    //! `text` is the configuration as stored.
+    void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration, const std::string& text);
     void setServers(const fleet::ServerMap& servers);
     //! Applies a changed retry budget.
     void reload(const settings::Settings& settings);
@@ -41,14 +42,15 @@
     //! Hands the coordinator role over if this host has it, and does not take it again.
     void startShutdown();
     using VersionCallback = std::function<void(std::uint64_t)>;
-    //! Sets callbacks for the list of backend servers and for the newest configuration version, both from beacons.
-    void setDirectoryCallbacks(ReceivedDirectory::Callback directoryCallback, VersionCallback versionCallback);
+    //! Sets callbacks for the state received from the coordinator and for the configuration version that it announces.
+    void setStateCallbacks(ReceivedState::Callbacks callbacks, VersionCallback versionCallback);
     //! Whether this host gets a current list of backend servers from another coordinator.
     bool hasCurrentDirectory() const;
     //! Whether a beacon of another coordinator arrived recently, even one with a stale list.
     bool isCoordinatorAlive() const;
     void closeExpiredConnections() { this->leaseOrderSender.closeExpiredConnections(); }
 
+    std::uint64_t refusedDatagrams() const { return this->sender.refusedCount(); }
     std::size_t waitingJobs() const { return this->placement->waitingJobs(); }
     bool usesCoordinator() const { return this->placement->usesCoordinator(); }
     bool isCoordinator() const { return this->coordinator != nullptr; }
@@ -94,12 +96,13 @@
     tenure::CoordinatorElection election;
     std::unique_ptr<coordination::PlacementClient> placement;
     std::unique_ptr<coordination::Coordinator> coordinator;
-    std::unique_ptr<net::UdpSocket> socket;
+    DatagramSender sender;
     platform_adapter::LeaseOrderSender leaseOrderSender;
     std::shared_ptr<const fleet::Configuration> configuration;
+    std::string configurationText;
     fleet::ServerMap servers;
     VersionCallback onVersionAnnounced;
-    ReceivedDirectory directory;
+    ReceivedState receivedState;
     TimePoint lastBeaconReceived {};
     std::uint64_t coordinatorTerm = 0;
     bool hasReceivedBeacon = false;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -52,10 +52,10 @@
     this->coordination = std::move(valueOf(coordinationTask));
     this->edge = std::make_unique<edge::EdgeServer>(
         this->reactor, this->events, platform_adapter::headerNames(), this->coordination->placer());
-    this->configurationWatcher = std::make_unique<ConfigurationWatcher>(
-        this->reactor, this->store, this->events, [this](const std::shared_ptr<const fleet::Configuration>& current) {
+    this->configurationWatcher = std::make_unique<ConfigurationWatcher>(this->reactor, this->store, this->events,
+        [this](const std::shared_ptr<const fleet::Configuration>& current, const std::string& text) {
             this->edge->setConfiguration(current);
-            this->coordination->setConfiguration(current);
+            this->coordination->setConfiguration(current, text);
         });
     this->serverWatcher = std::make_unique<ServerWatcher>(
         this->reactor, this->store, this->events, [this](const fleet::ServerMap& listedServers) {
@@ -93,13 +93,15 @@
     auto listening = this->edge->listen(valueOf(edgeAddress));
     if (!succeeded(listening))
         return errorOf(listening);
-    this->coordination->setDirectoryCallbacks(
-        [this](const fleet::ServerMap& listedServers, bool changed) {
-            if (changed)
-                this->serverWatcher->applyCoordinatorList(listedServers);
-            else
-                this->serverWatcher->confirmCoordinatorList();
-        },
+    ReceivedState::Callbacks callbacks;
+    callbacks.onServers = [this](const fleet::ServerMap& listedServers, bool changed) {
+        if (changed)
+            this->serverWatcher->applyCoordinatorList(listedServers);
+        else
+            this->serverWatcher->confirmCoordinatorList();
+    };
+    callbacks.onConfiguration = [this](const std::string& text) { this->configurationWatcher->applyReceived(text); };
+    this->coordination->setStateCallbacks(std::move(callbacks),
         [this](std::uint64_t version) { this->configurationWatcher->onVersionAnnounced(version); });
     this->configurationWatcher->start();
     this->serverWatcher->start();
@@ -116,7 +118,10 @@
     bool directoryCurrent = this->coordination->hasCurrentDirectory();
     bool coordinatorAlive = this->coordination->isCoordinatorAlive();
     this->serverWatcher->setPolling(!directoryCurrent);
-    this->configurationWatcher->setCoordinatorActive(directoryCurrent || coordinatorAlive);
+    using Source = ConfigurationWatcher::Source;
+    this->configurationWatcher->setSource(directoryCurrent ? Source::Coordinator
+            : coordinatorAlive                             ? Source::StoreWithCoordinator
+                                                           : Source::Store);
     this->reactor.scheduleAfter(dataSourceInterval, [this] { this->updateDataSources(); });
 }
 
@@ -166,6 +171,8 @@
         count(this->coordination->waitingJobs()));
     add("sequoia_uses_coordinator", "gauge", "1 when a coordinator places the requests of this host.",
         this->coordination->usesCoordinator() ? 1 : 0);
+    add("sequoia_datagrams_refused_total", "counter", "Datagrams to other hosts that the kernel did not accept.",
+        count(this->coordination->refusedDatagrams()));
     add("sequoia_coordinator_term", "gauge", "Term of this host's tenure as coordinator; 0 when it has none.",
         coordinator ? count(coordinator->term()) : 0);
     add("sequoia_coordinator_hosts", "gauge", "Hosts that report to this coordinator.",
--- /dev/null
+++ b/programs/node/src/ReceivedState.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "coordination/StateReplica.h"
+#include "fleet/ServerEntry.h"
+#include "timeline/EventLog.h"
+
+#include <functional>
+#include <string>
+
+namespace sequoia::node {
+
+//! This host's copy of what the coordinator knows: backend servers, owners of keys, and the configuration.
+class ReceivedState {
+public:
+    struct Callbacks {
+        //! A received or confirmed list of servers, and whether it changed.
+        std::function<void(const fleet::ServerMap&, bool changed)> onServers;
+        std::function<void(const std::string& text)> onConfiguration;
+        std::function<void(const std::string& service, const std::vector<std::string>& buckets)> onOwners;
+    };
+
+    explicit ReceivedState(timeline::EventLog& events);
+
+    void setCallbacks(Callbacks callbacks) { this->callbacks = std::move(callbacks); }
+    //! `ownersOnly` is set on the coordinator's own host, which reads the rest from the store.
+    void apply(const wire::Datagram& datagram, bool ownersOnly, TimePoint now);
+    //! Records what this host has read from the store, so that the coordinator does not send it again.
+    void assignServers(const fleet::ServerMap& servers);
+    void assignConfiguration(const std::string& text);
+    void fillRequests(wire::Report& report) const { this->replica.fillRequests(report); }
+    //! Whether the list of servers was confirmed recently.
+    bool isCurrent(TimePoint now) const;
+
+private:
+    void applyServers(bool changed);
+
+    timeline::EventLog& events;
+    Callbacks callbacks;
+    coordination::StateReplica replica;
+    fleet::ServerMap servers;
+    bool hasServers = false; //!< the list was complete once
+    bool applying = false;
+    TimePoint lastConfirmed {};
+};
+
+}
