Announce changes of the server list row by row, and count the jobs of other hosts incrementally

From second 20 on the coordinator fell behind: changed buckets up to 16 KB went to 195 hosts with each round of beacons, owner buckets changed with every round while keys moved, and each report summed up the jobs of all hosts anew, some million map insertions a second once hosts place jobs themselves.

Now a change is announced as one row (80 bytes) to each host, owners are published once a second and asked for, not pushed, and a report changes only the counts of the servers that it names. removeHost passes the time to the servers' measurements.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -44,8 +44,8 @@
     void setServers(const fleet::ServerMap& servers, TimePoint now);
     //! Places no job of the host on the server until the given time, as the server asked.
     void pauseServer(const std::string& server, std::uint64_t host, TimePoint until);
-    //! Sets the number of jobs of other hosts by server, where hosts decide independently.
-    void setOtherHostsInFlight(const std::map<std::string, unsigned>& counts);
+    //! Sets the number of jobs at a server that hosts have placed independently.
+    void setOtherHostsInFlight(const std::string& server, unsigned count);
 
     std::vector<SchedulingDecision> submit(const Job& job, TimePoint now);
     //! Removes a waiting job.
@@ -55,7 +55,7 @@
     //! Places waiting jobs on free slots, and refuses those that can no longer meet their deadlines.
     std::vector<SchedulingDecision> tick(TimePoint now);
     //! Removes the jobs of a host that has left.
-    void removeHost(std::uint64_t host);
+    void removeHost(std::uint64_t host, TimePoint now);
 
     //! Whether a job is queued here.
     bool isWaiting(JobId job) const;
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -136,12 +136,11 @@
     }
 }
 
-void Scheduler::setOtherHostsInFlight(const std::map<std::string, unsigned>& counts)
+void Scheduler::setOtherHostsInFlight(const std::string& server, unsigned count)
 {
-    for (auto& [id, load] : this->loads) {
-        auto found = counts.find(id);
-        load.setOtherHostsInFlight(found == counts.end() ? 0 : found->second);
-    }
+    auto found = this->loads.find(server);
+    if (found != this->loads.end())
+        found->second.setOtherHostsInFlight(count);
 }
 
 void Scheduler::pauseServer(const std::string& server, std::uint64_t host, TimePoint until)
@@ -311,7 +310,7 @@
     return decisions;
 }
 
-void Scheduler::removeHost(std::uint64_t host)
+void Scheduler::removeHost(std::uint64_t host, TimePoint now)
 {
     for (auto& [service, pool] : this->pools) {
         for (auto& [name, queue] : pool->queues)
@@ -323,7 +322,7 @@
         if (entry->first.host == host) {
             auto load = this->loads.find(entry->second.server);
             if (load != this->loads.end())
-                load->second.jobEnded(entry->first, JobResult::Abandoned, {}, {}, TimePoint());
+                load->second.jobEnded(entry->first, JobResult::Abandoned, {}, {}, now);
             this->placements.erase(entry);
         }
         entry = next;
--- a/libs/balance/tests/SchedulerTest.cpp
+++ b/libs/balance/tests/SchedulerTest.cpp
@@ -322,7 +322,7 @@
     other.id.host = 2;
     test.submit(other);
     CHECK(test.scheduler.inFlight("s0") == 2);
-    test.scheduler.removeHost(2);
+    test.scheduler.removeHost(2, test.now);
     CHECK(test.scheduler.inFlight("s0") == 1);
     test.now += std::chrono::seconds(4);
     test.scheduler.tick(test.now);
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -112,8 +112,7 @@
     wire::Datagram& replyTo(const std::string& address);
     void publishOwners();
     void answerStateRequests(Host& host, const wire::Report& report);
-    void addStateDatagrams(const std::string& address, const std::vector<wire::StateBucket>& buckets,
-        std::vector<OutgoingDatagram>& datagrams);
+    void setUnmanagedJobs(Host& host, std::map<std::string, unsigned> inFlight);
     bool isStable(const Host& host) const;
     bool hasStoreContact(const Host& host) const;
     std::map<std::string, std::uint32_t> standbyRanks(const std::string& ownIncarnation) const;
@@ -132,6 +131,9 @@
     fleet::ServerMap listedServers; //!< as they were set
     fleet::ServerMap servers; //!< with the leaving ones marked as draining
     fleet::LeavingServers leavingServers;
+    fleet::ServerMap announcedServers; //!< as of the last round of beacons
+    std::map<std::string, unsigned> unmanagedJobs; //!< of all hosts, by server
+    TimePoint ownersPublishedAt {};
     StatePublisher publisher;
     std::uint64_t stateSequence = 0;
     std::size_t stateBytesLeft = 0; //!< that answers to requests may take until the next beacons
--- a/libs/coordination/include/coordination/StateBuckets.h
+++ b/libs/coordination/include/coordination/StateBuckets.h
@@ -9,8 +9,8 @@
 //! One group of replicated state, divided into buckets that are compared by their digests and copied one by one.
 class StateBuckets {
 public:
-    //! Replaces all buckets and returns the indexes of those that changed.
-    std::vector<std::uint32_t> assign(std::vector<std::string> contents);
+    //! Replaces all buckets.
+    void assign(std::vector<std::string> contents);
     //! Replaces one bucket of a group that has `count` of them.
     void replace(std::uint32_t index, std::uint32_t count, std::string content);
 
--- a/libs/coordination/include/coordination/StateEncoding.h
+++ b/libs/coordination/include/coordination/StateEncoding.h
@@ -4,6 +4,7 @@
 #include "fleet/ServerEntry.h"
 #include "keyspace/KeyPlan.h"
 
+#include <peer.pb.h>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,8 @@
 //! Names of the groups of replicated state.
 inline constexpr const char* serverGroup = "servers";
 inline constexpr const char* configurationGroup = "configuration";
+//! Keeps a datagram within one Ethernet frame: the loss of one fragment would lose all of them.
+inline constexpr std::size_t maxPacketBytes = 1300;
 std::string ownerGroup(const std::string& service);
 //! Returns the service of an owner group, or an empty text for another group.
 std::string serviceOfOwnerGroup(const std::string& group);
@@ -19,6 +22,11 @@
 //! Encodes a list of backend servers. Equal lists have equal buckets on all hosts; the remaining warm-up, which changes
 //! with each heartbeat, is left out.
 std::vector<std::string> encodeServers(const fleet::ServerMap& servers);
+//! The differences between two lists, each message small enough for one packet; empty if they would need more than
+//! `maxBytes`.
+std::vector<wire::ServerChanges> encodeServerChanges(
+    const fleet::ServerMap& before, const fleet::ServerMap& after, std::size_t maxBytes);
+void applyServerChanges(const wire::ServerChanges& changes, fleet::ServerMap& servers);
 Result<fleet::ServerMap> decodeServers(const std::vector<std::string>& buckets);
 
 //! Encodes who owns the keys of a service.
--- a/libs/coordination/include/coordination/StateReplica.h
+++ b/libs/coordination/include/coordination/StateReplica.h
@@ -22,8 +22,9 @@
     bool isCurrent(const std::string& group) const;
     //! Content of a group; empty if there is none.
     const std::vector<std::string>& contents(const std::string& group) const;
-    //! Asks for the buckets of all groups that differ.
-    void fillRequests(wire::Report& report) const;
+    //! Asks for the buckets of all groups that differ; for owners of keys, which change often and are needed only
+    //! without a coordinator, with some of the calls.
+    void fillRequests(wire::Report& report);
 
 private:
     struct Group {
@@ -38,6 +39,7 @@
     std::map<std::string, Group, std::less<>> groups;
     std::uint64_t term = 0;
     std::uint64_t lastDigestSequence = 0;
+    unsigned requestRound = 0;
 };
 
 }
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace sequoia::coordination {
 
@@ -23,6 +24,9 @@
 // Answers to requests for state between two rounds of beacons: about seven megabits a second, so that placements on the
 // same link are not delayed.
 constexpr std::size_t maxStateBytesPerRound = std::size_t { 128 } * 1024;
+// Changes of the list of servers go to all hosts at once up to this size; hosts ask for larger ones.
+constexpr std::size_t maxAnnouncedBytes = std::size_t { 4 } * 1024;
+constexpr Duration ownerPublishInterval = std::chrono::seconds(1);
 // Number of standbys, which take over first when the coordinator is lost; several, since some may be lost with it.
 constexpr std::size_t standbyCount = 3;
 // Interval at which standbys get the addresses of all hosts, so their copy is about this old at most. The addresses of
@@ -73,6 +77,8 @@
     this->leavingServers.apply(this->servers, now);
     this->publisher.publish(serverGroup, encodeServers(this->servers));
     this->scheduler.setServers(this->servers, now);
+    for (const auto& [server, count] : this->unmanagedJobs)
+        this->scheduler.setOtherHostsInFlight(server, count);
     for (auto& [service, entry] : this->keyedServices) {
         fleet::ServerMap serversOfService;
         for (const auto& [id, server] : this->servers) {
@@ -229,9 +235,10 @@
 
 void Coordinator::applyReport(Host& host, const wire::Report& report)
 {
-    host.unmanagedInFlight.clear();
+    std::map<std::string, unsigned> inFlight;
     for (const auto& load : report.loads())
-        host.unmanagedInFlight[load.server()] += load.in_flight();
+        inFlight[load.server()] += load.in_flight();
+    this->setUnmanagedJobs(host, std::move(inFlight));
     host.processorShare = report.strength();
     host.dataCentre = report.data_centre();
     host.leaving = report.leaving();
@@ -239,15 +246,27 @@
         this->peerStoreContact = true;
         host.lastStoreContact = this->clock.now() - fromMillis(report.store_contact_age_ms());
     }
-    std::map<std::string, unsigned> inFlightElsewhere;
-    for (const auto& [incarnation, entry] : this->hosts) {
-        for (const auto& [server, count] : entry.unmanagedInFlight)
-            inFlightElsewhere[server] += count;
-    }
-    this->scheduler.setOtherHostsInFlight(inFlightElsewhere);
     this->answerStateRequests(host, report);
 }
 
+// Adjusts only the servers that this host uses, since all hosts report several times a second.
+void Coordinator::setUnmanagedJobs(Host& host, std::map<std::string, unsigned> inFlight)
+{
+    if (inFlight == host.unmanagedInFlight)
+        return;
+    auto previous = std::exchange(host.unmanagedInFlight, std::move(inFlight));
+    for (const auto& [server, count] : host.unmanagedInFlight)
+        previous.try_emplace(server, 0);
+    for (const auto& [server, before] : previous) {
+        auto now = host.unmanagedInFlight.find(server);
+        auto& total = this->unmanagedJobs[server];
+        total = total - before + (now == host.unmanagedInFlight.end() ? 0 : now->second);
+        this->scheduler.setOtherHostsInFlight(server, total);
+        if (total == 0)
+            this->unmanagedJobs.erase(server);
+    }
+}
+
 void Coordinator::answerStateRequests(Host& host, const wire::Report& report)
 {
     auto now = this->clock.now();
@@ -263,21 +282,20 @@
             continue;
         sentAt = now;
         buckets.resize(fitting);
-        this->addStateDatagrams(host.address, buckets, this->stateReplies);
-    }
-}
-
-void Coordinator::addStateDatagrams(
-    const std::string& address, const std::vector<wire::StateBucket>& buckets, std::vector<OutgoingDatagram>& datagrams)
-{
-    for (auto& datagram : splitBuckets(buckets)) {
-        datagram.set_sequence(++this->stateSequence);
-        datagrams.push_back({ address, std::move(datagram) });
+        for (auto& datagram : splitBuckets(buckets)) {
+            datagram.set_sequence(++this->stateSequence);
+            this->stateReplies.push_back({ host.address, std::move(datagram) });
+        }
     }
 }
 
+// Owners change many times a second while keys are moved, and hosts need them only without a coordinator.
 void Coordinator::publishOwners()
 {
+    auto now = this->clock.now();
+    if (this->ownersPublishedAt != TimePoint() && now - this->ownersPublishedAt < ownerPublishInterval)
+        return;
+    this->ownersPublishedAt = now;
     for (auto& [service, entry] : this->keyedServices) {
         if (entry.publishedVersion == entry.leaseManager->version())
             continue;
@@ -307,7 +325,8 @@
     for (auto entry = this->hosts.begin(); entry != this->hosts.end();) {
         auto next = std::next(entry);
         if (now - entry->second.lastReport > hostTimeout) {
-            this->scheduler.removeHost(entry->second.number);
+            this->setUnmanagedJobs(entry->second, {});
+            this->scheduler.removeHost(entry->second.number, now);
             this->addressOfHost.erase(entry->second.number);
             this->hosts.erase(entry);
         }
@@ -400,7 +419,8 @@
     std::vector<OutgoingDatagram> result;
     this->stateBytesLeft = maxStateBytesPerRound;
     this->publishOwners();
-    auto changes = this->publisher.takeChanges();
+    auto changes = encodeServerChanges(this->announcedServers, this->servers, maxAnnouncedBytes);
+    this->announcedServers = this->servers;
     auto ranks = this->standbyRanks(status.ownIncarnation);
     if (this->started && this->clock.now() < this->predecessorHostsUntil) {
         std::set<std::string> reportingAddresses;
@@ -435,7 +455,12 @@
         beacon->set_resigned(status.resigned);
         beacon->set_host_number(host.number);
         // Changes go before the digests that cover them.
-        this->addStateDatagrams(host.address, changes, result);
+        for (const auto& change : changes) {
+            OutgoingDatagram announcement { host.address, {} };
+            announcement.datagram.set_sequence(outgoing.datagram.sequence());
+            *announcement.datagram.mutable_server_changes() = change;
+            result.push_back(std::move(announcement));
+        }
         result.push_back(std::move(outgoing));
     }
     return result;
--- a/libs/coordination/src/StateEncoding.cpp
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-// With a thousand servers, a bucket of them has about a kilobyte, which fits a network packet.
-constexpr std::size_t serverBuckets = 64;
+// With two thousand servers, a bucket of them has about a kilobyte, which fits a network packet.
+constexpr std::size_t serverBuckets = 128;
 constexpr std::size_t ownerBuckets = 64;
 constexpr std::size_t keysPerBucket = fleet::keyCount / ownerBuckets;
 constexpr std::size_t textBucketBytes = 1000;
@@ -25,6 +25,25 @@
     row.set_draining(entry.state == fleet::ServerState::Draining);
 }
 
+fleet::ServerEntry entryOf(const wire::ServerRow& row)
+{
+    fleet::ServerEntry entry;
+    entry.instance = { row.id(), row.born_ms() };
+    entry.service = row.service();
+    entry.address = row.address();
+    entry.dataCentre = row.data_centre();
+    entry.slots = std::max(1U, row.slots());
+    entry.state = row.draining() ? fleet::ServerState::Draining : fleet::ServerState::Ready;
+    return entry;
+}
+
+//! The remaining warm-up time changes with every heartbeat and is not sent to hosts.
+bool equalExceptWarmup(const fleet::ServerEntry& left, fleet::ServerEntry right)
+{
+    right.warmupLeft = left.warmupLeft;
+    return left == right;
+}
+
 }
 
 std::string ownerGroup(const std::string& service)
@@ -56,20 +75,52 @@
         if (!rows.ParseFromString(bucket))
             return Error { ErrorKind::MalformedMessage, "a part of the list of servers is malformed",
                 "check that all hosts run the same version" };
-        for (const auto& row : rows.rows()) {
-            fleet::ServerEntry entry;
-            entry.instance = { row.id(), row.born_ms() };
-            entry.service = row.service();
-            entry.address = row.address();
-            entry.dataCentre = row.data_centre();
-            entry.slots = std::max(1U, row.slots());
-            entry.state = row.draining() ? fleet::ServerState::Draining : fleet::ServerState::Ready;
-            servers[row.id()] = entry;
-        }
+        for (const auto& row : rows.rows())
+            servers[row.id()] = entryOf(row);
     }
     return servers;
 }
 
+std::vector<wire::ServerChanges> encodeServerChanges(
+    const fleet::ServerMap& before, const fleet::ServerMap& after, std::size_t maxBytes)
+{
+    std::vector<wire::ServerChanges> messages;
+    std::size_t total = 0;
+    std::size_t inMessage = maxPacketBytes;
+    auto messageFor = [&](std::size_t bytes) -> wire::ServerChanges& {
+        if (inMessage + bytes > maxPacketBytes) {
+            messages.emplace_back();
+            inMessage = 0;
+        }
+        inMessage += bytes;
+        total += bytes;
+        return messages.back();
+    };
+    for (const auto& [id, entry] : after) {
+        auto old = before.find(id);
+        if (old != before.end() && equalExceptWarmup(entry, old->second))
+            continue;
+        wire::ServerRow row;
+        fillRow(entry, row);
+        *messageFor(row.ByteSizeLong()).add_rows() = row;
+    }
+    for (const auto& [id, entry] : before) {
+        if (!after.contains(id))
+            messageFor(id.size()).add_removed(id);
+    }
+    if (total > maxBytes)
+        messages.clear();
+    return messages;
+}
+
+void applyServerChanges(const wire::ServerChanges& changes, fleet::ServerMap& servers)
+{
+    for (const auto& id : changes.removed())
+        servers.erase(id);
+    for (const auto& row : changes.rows())
+        servers[row.id()] = entryOf(row);
+}
+
 std::vector<std::string> encodeOwners(const keyspace::KeyPlan& plan)
 {
     std::vector<wire::OwnedRanges> buckets(ownerBuckets);
--- a/libs/coordination/src/StatePublisher.cpp
+++ b/libs/coordination/src/StatePublisher.cpp
@@ -1,20 +1,12 @@
 #include "coordination/StatePublisher.h"
 
-namespace sequoia::coordination {
-
-namespace {
-
-// Changes larger than this are not sent to all hosts at once; the hosts ask for them.
-constexpr std::size_t maxPushedBytes = std::size_t { 16 } * 1024;
-// Keeps a datagram within one Ethernet frame: the loss of one fragment would lose all of them.
-constexpr std::size_t maxDatagramBytes = 1300;
+#include "coordination/StateEncoding.h"
 
-}
+namespace sequoia::coordination {
 
 void StatePublisher::publish(const std::string& group, std::vector<std::string> buckets)
 {
-    for (auto index : this->groups[group].assign(std::move(buckets)))
-        this->changed.emplace(group, index);
+    this->groups[group].assign(std::move(buckets));
 }
 
 void StatePublisher::fillDigests(wire::Beacon& beacon) const
@@ -37,23 +29,6 @@
     return bucket;
 }
 
-std::vector<wire::StateBucket> StatePublisher::takeChanges()
-{
-    std::vector<wire::StateBucket> buckets;
-    std::size_t bytes = 0;
-    for (const auto& [group, index] : this->changed) {
-        // The group may have become shorter since.
-        if (index < this->groups.at(group).contents().size())
-            buckets.push_back(this->makeBucket(group, index));
-    }
-    this->changed.clear();
-    for (const auto& bucket : buckets)
-        bytes += bucket.content().size();
-    if (bytes > maxPushedBytes)
-        buckets.clear();
-    return buckets;
-}
-
 std::vector<wire::StateBucket> StatePublisher::differences(const wire::StateRequest& request) const
 {
     std::vector<wire::StateBucket> buckets;
@@ -72,10 +47,10 @@
 std::vector<wire::Datagram> splitBuckets(const std::vector<wire::StateBucket>& buckets)
 {
     std::vector<wire::Datagram> datagrams;
-    std::size_t bytes = maxDatagramBytes;
+    std::size_t bytes = maxPacketBytes;
     for (const auto& bucket : buckets) {
         auto size = bucket.ByteSizeLong();
-        if (datagrams.empty() || bytes + size > maxDatagramBytes) {
+        if (datagrams.empty() || bytes + size > maxPacketBytes) {
             datagrams.emplace_back();
             bytes = 0;
         }
--- a/libs/coordination/src/StateReplica.cpp
+++ b/libs/coordination/src/StateReplica.cpp
@@ -1,5 +1,7 @@
 #include "coordination/StateReplica.h"
 
+#include "coordination/StateEncoding.h"
+
 namespace sequoia::coordination {
 
 namespace {
@@ -7,6 +9,8 @@
 // Bounds what a malformed message can make a host allocate.
 constexpr std::uint32_t maxBuckets = 65'536;
 constexpr std::size_t maxGroups = 1000;
+// Reports are sent every 150 ms.
+constexpr unsigned roundsPerOwnerRequest = 8;
 
 const std::vector<std::string> noContents;
 
@@ -80,11 +84,14 @@
     return found == this->groups.end() ? noContents : found->second.buckets.contents();
 }
 
-void StateReplica::fillRequests(wire::Report& report) const
+void StateReplica::fillRequests(wire::Report& report)
 {
+    bool withOwners = this->requestRound++ % roundsPerOwnerRequest == 0;
     for (const auto& [name, group] : this->groups) {
         if (!group.announced || group.announcedDigest == group.buckets.digest())
             continue;
+        if (!withOwners && !serviceOfOwnerGroup(name).empty())
+            continue;
         auto* request = report.add_state_requests();
         request->set_group(name);
         for (auto digest : group.buckets.digests())
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -1,7 +1,6 @@
 #include "coordination/Coordinator.h"
 #include "coordination/PlacementClient.h"
 #include "coordination/StateEncoding.h"
-#include "coordination/StateReplica.h"
 #include "core/ManualClock.h"
 
 #include <doctest/doctest.h>
@@ -372,14 +371,12 @@
     CHECK(replies[0].datagram.placements_size() == 0);
     CHECK(replies[0].datagram.refusals_size() == 1);
     // Other hosts learn it with the list of servers.
-    StateReplica replica;
-    for (auto message : fixture.coordinator.makeBeacons({ "self", false, false, 0 })) {
-        message.datagram.set_term(1);
+    fleet::ServerMap listOfHost;
+    for (const auto& message : fixture.coordinator.makeBeacons({ "self", false, false, 0 })) {
         if (message.address == hostAddress)
-            replica.apply(message.datagram);
+            applyServerChanges(message.datagram.server_changes(), listOfHost);
     }
-    REQUIRE(replica.isCurrent(serverGroup));
-    CHECK(valueOf(decodeServers(replica.contents(serverGroup))).at("s0").state == fleet::ServerState::Draining);
+    CHECK(listOfHost.at("s0").state == fleet::ServerState::Draining);
     // A new run of the server is used again.
     auto restarted = servers(1);
     restarted.at("s0").instance.startMillis = 2;
--- a/libs/coordination/tests/StateReplicationTest.cpp
+++ b/libs/coordination/tests/StateReplicationTest.cpp
@@ -55,8 +55,14 @@
             this->largest = std::max(this->largest, message.datagram.ByteSizeLong());
             this->sentBytes += message.datagram.ByteSizeLong();
             auto host = static_cast<std::size_t>(std::stoul(message.address.substr(9))) - 1;
-            if (!this->isLost())
-                this->replicas[host].apply(message.datagram);
+            if (this->isLost())
+                continue;
+            this->replicas[host].apply(message.datagram);
+            if (message.datagram.has_server_changes()) {
+                auto servers = valueOf(decodeServers(this->replicas[host].contents(serverGroup)));
+                applyServerChanges(message.datagram.server_changes(), servers);
+                this->replicas[host].assign(serverGroup, encodeServers(servers));
+            }
         }
     }
 
@@ -109,7 +115,7 @@
     CHECK(replication.largest < 3 * ethernetPayload);
 }
 
-TEST_CASE("a change reaches all hosts with the next beacons, and costs one bucket for each")
+TEST_CASE("a change reaches all hosts with the next beacons, and costs one row for each")
 {
     Replication replication(195, 0);
     auto servers = makeServers(540);
@@ -129,7 +135,7 @@
     replication.sentBytes = 0;
     replication.round();
     CHECK(replication.currentHosts(serverGroup) == 195);
-    CHECK(replication.sentBytes - idleBytes < 195 * ethernetPayload);
+    CHECK(replication.sentBytes - idleBytes < 195 * 200);
 }
 
 // Guards against a coordinator that sends everything again after a takeover.
@@ -173,7 +179,9 @@
         datagram.set_term(1);
         datagram.set_sequence(sequence);
         publisher.fillDigests(*datagram.mutable_beacon());
-        for (const auto& bucket : publisher.takeChanges())
+        wire::StateRequest request;
+        request.set_group("group");
+        for (const auto& bucket : publisher.differences(request))
             *datagram.add_buckets() = bucket;
         return datagram;
     };
@@ -218,7 +226,6 @@
         for (std::size_t i = 0; i < length; ++i)
             text[i] = static_cast<char>('a' + (i * 7 + length) % 26);
         publisher.publish(configurationGroup, encodeText(text));
-        publisher.takeChanges();
         for (int i = 0; i < 2; ++i) {
             wire::Datagram datagram;
             datagram.set_term(1);
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -144,7 +144,7 @@
     this->coordinatorTerm = datagram.term();
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender);
-    if (datagram.has_beacon() || datagram.buckets_size() > 0)
+    if (datagram.has_beacon() || datagram.buckets_size() > 0 || datagram.has_server_changes())
         this->receivedState.apply(datagram, this->coordinator != nullptr, this->reactor.now());
     if (this->hasReceivedBeacon)
         this->placement->onCoordinatorContact(datagram.term());
--- a/programs/node/src/ReceivedState.cpp
+++ b/programs/node/src/ReceivedState.cpp
@@ -20,6 +20,14 @@
 
 void ReceivedState::apply(const wire::Datagram& datagram, bool ownersOnly, TimePoint now)
 {
+    if (datagram.has_server_changes() && this->hasServers && !ownersOnly) {
+        coordination::applyServerChanges(datagram.server_changes(), this->servers);
+        this->replica.assign(coordination::serverGroup, coordination::encodeServers(this->servers));
+        this->applying = true;
+        if (this->callbacks.onServers)
+            this->callbacks.onServers(this->servers, true);
+        this->applying = false;
+    }
     auto changed = this->replica.apply(datagram);
     for (const auto& group : changed) {
         auto service = coordination::serviceOfOwnerGroup(group);
--- a/programs/node/src/ReceivedState.h
+++ b/programs/node/src/ReceivedState.h
@@ -27,7 +27,7 @@
     //! Records what this host has read from the store, so that the coordinator does not send it again.
     void assignServers(const fleet::ServerMap& servers);
     void assignConfiguration(const std::string& text);
-    void fillRequests(wire::Report& report) const { this->replica.fillRequests(report); }
+    void fillRequests(wire::Report& report) { this->replica.fillRequests(report); }
     //! Whether the list of servers was confirmed recently.
     bool isCurrent(TimePoint now) const;
 
