Survive messages with any values, and log large changes of the server list as counts

Times, results and keys out of range are cut off, or the message is dropped, before they are added up.

--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -17,6 +17,10 @@
 constexpr Duration hostTimeout = std::chrono::milliseconds(1500);
 // Interval between updates of the key loads and server capacities.
 constexpr Duration keyLoadInterval = std::chrono::milliseconds(250);
+// Retry-After for a request whose host and coordinator have different configurations for a moment.
+constexpr Duration otherConfigurationRetry = std::chrono::milliseconds(300);
+// A longer service time of a job is a mistake.
+constexpr Duration maxJobTime = std::chrono::hours(1);
 // A host counts as stable once it has reported for this time.
 constexpr Duration minStableTime = std::chrono::seconds(2);
 // A host reports the buckets that it lacks until it has received them, so an answer is not repeated sooner than this.
@@ -144,9 +148,12 @@
         this->applyReport(host, datagram.report());
     for (const auto& notice : datagram.notices())
         this->applyNotice(host, notice);
-    for (const auto& end : datagram.ends())
-        this->addDecisions(this->scheduler.jobEnded({ host.number, end.job() },
-            static_cast<balance::JobResult>(end.result()), Duration(static_cast<std::int64_t>(end.elapsed_us())), now));
+    for (const auto& end : datagram.ends()) {
+        auto elapsed = std::min<std::uint64_t>(end.elapsed_us(), static_cast<std::uint64_t>(maxJobTime.count()));
+        if (auto result = jobResultOf(end.result()))
+            this->addDecisions(this->scheduler.jobEnded(
+                { host.number, end.job() }, *result, Duration(static_cast<std::int64_t>(elapsed)), now));
+    }
     for (const auto& withdrawal : datagram.withdrawals()) {
         balance::JobId id { host.number, withdrawal.job() };
         this->scheduler.withdraw(id);
@@ -191,13 +198,21 @@
         return;
     }
     auto job = makeJob(message, host.number, now);
-    job.dataCentre = host.dataCentre;
-    if (job.key) {
-        auto keyedService = this->keyedServices.find(job.service);
+    if (!job)
+        return;
+    const auto* traits = this->configuration ? this->configuration->service(job->service) : nullptr;
+    if (traits && traits->keyed != job->key.has_value()) {
+        // The host has another configuration. One such job would change how all jobs of the service are queued.
+        this->addDecisions({ balance::JobRefusal { id, balance::RefusalReason::NoServer, otherConfigurationRetry } });
+        return;
+    }
+    job->dataCentre = host.dataCentre;
+    if (job->key) {
+        auto keyedService = this->keyedServices.find(job->service);
         if (keyedService != this->keyedServices.end())
-            keyedService->second.load.recordRequest(*job.key);
+            keyedService->second.load.recordRequest(*job->key);
     }
-    this->addDecisions(this->scheduler.submit(job, now));
+    this->addDecisions(this->scheduler.submit(*job, now));
     if (this->scheduler.isWaiting(id))
         this->replyTo(host.address).add_queued()->set_job(message.job());
 }
@@ -244,7 +259,8 @@
     host.leaving = report.leaving();
     if (report.store_contact_age_ms() < storeContactTimeoutMs) {
         this->peerStoreContact = true;
-        host.lastStoreContact = this->clock.now() - fromMillis(report.store_contact_age_ms());
+        host.lastStoreContact
+            = this->clock.now() - boundedMillis(std::max<std::int64_t>(0, report.store_contact_age_ms()));
     }
     this->answerStateRequests(host, report);
 }
--- a/libs/coordination/src/JobMessages.cpp
+++ b/libs/coordination/src/JobMessages.cpp
@@ -1,7 +1,15 @@
 #include "coordination/JobMessages.h"
 
+#include <algorithm>
+
 namespace sequoia::coordination {
 
+namespace {
+
+constexpr std::int64_t maxMillis = std::int64_t { 24 } * 3600 * 1000;
+
+}
+
 void fillSubmit(const balance::Job& job, TimePoint now, wire::Submit& message)
 {
     message.set_job(job.id.number);
@@ -18,16 +26,37 @@
         message.add_tried(server);
 }
 
-balance::Job makeJob(const wire::Submit& message, std::uint64_t host, TimePoint now)
+Duration boundedMillis(std::int64_t millis)
+{
+    return fromMillis(std::clamp(millis, -maxMillis, maxMillis));
+}
+
+std::optional<balance::JobResult> jobResultOf(std::uint32_t number)
+{
+    if (number >= balance::jobResultNames.size())
+        return std::nullopt;
+    return static_cast<balance::JobResult>(number);
+}
+
+std::optional<balance::RefusalReason> refusalReasonOf(std::uint32_t number)
+{
+    if (number >= balance::refusalReasonNames.size())
+        return std::nullopt;
+    return static_cast<balance::RefusalReason>(number);
+}
+
+std::optional<balance::Job> makeJob(const wire::Submit& message, std::uint64_t host, TimePoint now)
 {
+    if (message.keyed() && message.key() >= fleet::keyCount)
+        return std::nullopt;
     balance::Job job;
     job.id = { host, message.job() };
     job.service = message.service();
     if (message.keyed())
         job.key = static_cast<fleet::Key>(message.key());
     job.priority = message.priority();
-    job.target = now + fromMillis(message.target_left_ms());
-    job.deadline = now + fromMillis(message.deadline_left_ms());
+    job.target = now + boundedMillis(message.target_left_ms());
+    job.deadline = now + boundedMillis(message.deadline_left_ms());
     job.attempt = message.attempt();
     job.maxAttempts = message.max_attempts();
     job.fingerprint = message.fingerprint();
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -250,8 +250,9 @@
     for (const auto& message : datagram.placements())
         this->onJobPlaced(message.job(), { message.server(), message.born_ms() }, message.address(), true);
     for (const auto& message : datagram.refusals())
-        this->onJobRefused(message.job(), static_cast<balance::RefusalReason>(message.reason()),
-            fromMillis(static_cast<std::int64_t>(message.retry_after_ms())));
+        this->onJobRefused(message.job(),
+            refusalReasonOf(message.reason()).value_or(balance::RefusalReason::Overloaded),
+            boundedMillis(static_cast<std::int64_t>(std::min<std::uint64_t>(message.retry_after_ms(), INT64_MAX))));
 }
 
 void PlacementClient::onJobPlaced(
--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -15,6 +15,7 @@
 constexpr Duration minOutageTime = std::chrono::milliseconds(2600);
 // Live servers are listed again within two seconds after the store recovers, by the users' specification.
 constexpr Duration graceAfterOutage = std::chrono::milliseconds(2200);
+constexpr std::size_t maxLoggedChanges = 20;
 
 }
 
@@ -110,26 +111,38 @@
     this->changed(this->directory.servers());
 }
 
+// A start or a takeover changes hundreds of entries at once on every host, so large changes are logged as counts.
 void ServerWatcher::logChanges(const fleet::ServerMap& before) const
 {
-    auto record = [this](const char* change, const fleet::ServerEntry& entry) {
-        this->events.record(timeline::Severity::Info, "server",
-            { { "server", entry.instance.id }, { "change", change }, { "service", entry.service },
-                { "address", entry.address }, { "born_ms", std::to_string(entry.instance.startMillis) } });
-    };
+    std::vector<std::pair<const char*, const fleet::ServerEntry*>> changes;
     for (const auto& [id, entry] : this->directory.servers()) {
         auto previous = before.find(id);
         if (previous == before.end())
-            record("added", entry);
+            changes.emplace_back("added", &entry);
         else if (previous->second.instance != entry.instance)
-            record("restarted", entry);
+            changes.emplace_back("restarted", &entry);
         else if (previous->second.state != entry.state)
-            record(entry.state == fleet::ServerState::Draining ? "draining" : "ready", entry);
+            changes.emplace_back(entry.state == fleet::ServerState::Draining ? "draining" : "ready", &entry);
     }
     for (const auto& [id, entry] : before) {
         if (!this->directory.servers().contains(id))
-            record("gone", entry);
+            changes.emplace_back("gone", &entry);
+    }
+    if (changes.size() > maxLoggedChanges) {
+        std::map<std::string, std::size_t> counts;
+        for (const auto& [change, entry] : changes)
+            ++counts[change];
+        std::string summary;
+        for (const auto& [change, count] : counts)
+            summary += (summary.empty() ? "" : ",") + change + ":" + std::to_string(count);
+        this->events.record(timeline::Severity::Info, "servers",
+            { { "changes", summary }, { "servers", std::to_string(this->directory.servers().size()) } });
+        return;
     }
+    for (const auto& [change, entry] : changes)
+        this->events.record(timeline::Severity::Info, "server",
+            { { "server", entry->instance.id }, { "change", change }, { "service", entry->service },
+                { "address", entry->address }, { "born_ms", std::to_string(entry->instance.startMillis) } });
 }
 
 }
