After a start, wait for the configuration and the coordinator, and spread what hosts place themselves

Keys of a service of which nothing is known count as moving: the job waits for half of its time, and waiting jobs go to the coordinator once there is one. Connections wait in the accept queue for the first configuration, 0.7 s at most. Among equal servers each host has its own order.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -40,6 +40,8 @@
     //! Sets the part of each server's slots that this scheduler may fill: below 1 where several schedulers decide
     //! independently.
     void setSlotShare(double share) { this->slotShare = share; }
+    //! Makes schedulers with different seeds prefer different servers among about equal ones. Zero: no preference.
+    void setSpreadSeed(std::uint64_t seed) { this->spreadSeed = seed; }
     //! Replaces the known backend servers; servers that are missing from the map are removed.
     void setServers(const fleet::ServerMap& servers, TimePoint now);
     //! Places no job of the host on the server until the given time, as the server asked.
@@ -82,6 +84,7 @@
     void requeueAfterOwnerChange(Pool& pool);
     void dispatchQueue(Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
     void dispatch(Pool& pool, TimePoint now, std::vector<SchedulingDecision>& decisions);
+    double spreadFactor(const std::string& server) const;
     std::optional<std::string> chooseServer(const Pool& pool, const Job& job, TimePoint now) const;
     //! Time from which a server may get a job of this host, apart from its slots.
     TimePoint earliestUse(const Pool& pool, const std::string& queue, const Job& job, TimePoint now) const;
@@ -104,6 +107,7 @@
     TimePoint lastDeadlineCheck {};
     TimePoint lastPauseEnd {}; //!< of all pauses that servers have asked for
     double slotShare = 1;
+    std::uint64_t spreadSeed = 0;
 };
 
 }
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <functional>
 #include <tuple>
 
 namespace sequoia::balance {
@@ -20,6 +21,8 @@
 // the bytes, which is less than the variation between equal servers.
 constexpr double newConnectionFactor = 1.15;
 constexpr double otherDataCentreFactor = 1.08;
+// Largest preference among equal servers by the spread seed; more than the preference for the own data centre.
+constexpr double maxSpread = 0.3;
 // Servers whose cost, which is mainly their slowness, exceeds this get only jobs that they can finish by the target.
 constexpr double slowServerFactor = 3;
 // A job that would have less time than this many average service times is not worth starting.
@@ -375,6 +378,15 @@
     }
 }
 
+// Many hosts that decide independently would all send their first jobs to the same server.
+double Scheduler::spreadFactor(const std::string& server) const
+{
+    if (this->spreadSeed == 0)
+        return 1;
+    auto mixed = (std::hash<std::string> {}(server) ^ this->spreadSeed) * 0x9E3779B97F4A7C15U;
+    return 1 + maxSpread * static_cast<double>(mixed >> 32U) / 4294967296.0;
+}
+
 std::optional<std::string> Scheduler::chooseServer(const Pool& pool, const Job& job, TimePoint now) const
 {
     const ServerLoad* best = nullptr;
@@ -398,6 +410,7 @@
             cost *= newConnectionFactor;
         if (load.entry().dataCentre != job.dataCentre)
             cost *= otherDataCentreFactor;
+        cost *= this->spreadFactor(id);
         // Waiting for another server is better than a slow one that would make the job late.
         double expectedMicros = averageMicros * load.slowness(pool.averageServiceTime(), now);
         if (cost > slowServerFactor && now + Duration(static_cast<std::int64_t>(expectedMicros)) > job.target)
--- a/libs/balance/tests/SchedulerTest.cpp
+++ b/libs/balance/tests/SchedulerTest.cpp
@@ -543,3 +543,19 @@
     test.scheduler.setServers(test.serverMap, test.now);
     CHECK(serverOf(test.scheduler.tick(test.now)) == "s0");
 }
+
+// Guards against many hosts without a coordinator that all send their first jobs to the same server (gctm-rdv-large
+// trouble-2, the seconds after all hosts lost power).
+TEST_CASE("schedulers with different seeds spread their first jobs over equal servers")
+{
+    std::map<std::string, int> jobs;
+    for (std::uint64_t host = 1; host <= 200; ++host) {
+        TestScheduler test(100);
+        test.scheduler.setSpreadSeed(host * 0x123456789ABCDEFU);
+        ++jobs[serverOf(test.submit(test.job()))];
+    }
+    auto busiest = std::max_element(
+        jobs.begin(), jobs.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    // Two for each server on average; ten or more at one of a hundred servers has a probability below 0.5%.
+    CHECK(busiest->second < 10);
+}
--- a/libs/coordination/include/coordination/KeyPlanCache.h
+++ b/libs/coordination/include/coordination/KeyPlanCache.h
@@ -17,7 +17,9 @@
     //! Applies the encoded buckets of a service. A malformed bucket is refused and the former one kept.
     Result<Success> update(const std::string& service, const std::vector<std::string>& buckets);
 
+    //! Keys of a service of which nothing has been received yet count as moving.
     balance::Owner ownerOf(std::string_view service, fleet::Key key) const override;
+    bool knows(const std::string& service) const { return this->bucketsByService.contains(service); }
     std::uint64_t ownerVersion() const override { return this->version; }
 
 private:
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -31,6 +31,8 @@
     void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
     bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) override;
 
+    //! Makes hosts prefer different servers among equal ones while they place jobs locally.
+    void setSpreadSeed(std::uint64_t seed) { this->scheduler.setSpreadSeed(seed); }
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
     //! Number of hosts that share the retry budget while each of them places its jobs locally.
@@ -77,6 +79,7 @@
     bool mustDecline(const fleet::ServerInstance& server) const;
     void declinePlacement(PendingJob& entry, const fleet::ServerInstance& server);
     void forgetCoordinatorJobs();
+    void handWaitingJobsOver();
     wire::ServerNotice noticeOf(const fleet::ServerInstance& server) const;
     fleet::ServerInstance instanceOf(const std::string& server) const;
     void applyServers();
--- a/libs/coordination/src/KeyPlanCache.cpp
+++ b/libs/coordination/src/KeyPlanCache.cpp
@@ -27,8 +27,9 @@
 balance::Owner KeyPlanCache::ownerOf(std::string_view service, fleet::Key key) const
 {
     auto found = this->bucketsByService.find(service);
+    // A host that has just started learns the owners as soon as there is a coordinator.
     if (found == this->bucketsByService.end() || found->second.empty())
-        return { balance::Ownership::Unowned, {} };
+        return { balance::Ownership::Moving, {} };
     const auto& bucket = found->second[std::size_t(key) * found->second.size() / fleet::keyCount];
     for (const auto& range : bucket.ranges.ranges()) {
         if (key < range.first() || key > range.last())
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace sequoia::coordination {
 
@@ -22,6 +23,8 @@
 // Share of each server's slots for local placement. Hosts that place locally at the same time share the slots, and
 // their number is not known exactly.
 constexpr double localSlotShare = 0.3;
+// A job for a key whose owner is not known yet waits for this part of its time.
+constexpr int unknownOwnerWaitDivisor = 2;
 // This host's number in its own scheduler.
 constexpr std::uint64_t localHost = 0;
 // Used until a beacon gives the number of hosts.
@@ -73,6 +76,10 @@
         return;
     found->second.atCoordinator = false;
     auto job = found->second.job;
+    auto now = this->clock.now();
+    // The owners become known when a coordinator is found. If that takes long, the caller gets the time to try again.
+    if (job.key && !this->planCache.knows(job.service) && job.deadline > now)
+        job.deadline = now + (job.deadline - now) / unknownOwnerWaitDivisor;
     this->applyDecisions(this->scheduler.submit(job, this->clock.now()));
 }
 
@@ -189,12 +196,29 @@
 void PlacementClient::onCoordinatorContact(std::uint64_t newTerm)
 {
     this->lastCoordinatorContact = this->clock.now();
-    this->coordinatorActive = true;
-    if (newTerm == this->term)
-        return;
-    this->term = newTerm;
-    this->hostNumber = 0;
-    this->forgetCoordinatorJobs();
+    bool wasActive = std::exchange(this->coordinatorActive, true);
+    if (newTerm != this->term) {
+        this->term = newTerm;
+        this->hostNumber = 0;
+        this->forgetCoordinatorJobs();
+    }
+    if (!wasActive)
+        this->handWaitingJobsOver();
+}
+
+// The coordinator knows the free slots of all servers, and this host only its share of them.
+void PlacementClient::handWaitingJobsOver()
+{
+    for (auto& [number, entry] : this->pendingJobs) {
+        if (entry.atCoordinator || !this->scheduler.isWaiting(entry.job.id))
+            continue;
+        this->scheduler.withdraw(entry.job.id);
+        entry.atCoordinator = true;
+        entry.acknowledged = false;
+        entry.resendCount = 0;
+        entry.firstSent = this->clock.now();
+        this->sendSubmit(entry);
+    }
 }
 
 void PlacementClient::setHostNumber(std::uint64_t number)
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -502,3 +502,42 @@
     fixture.sendToHost();
     CHECK(fixture.observer.placed.contains(waiting));
 }
+
+// Guards against refusing the callers of hosts that have just started, in the second before there is a coordinator.
+TEST_CASE("a job for a key whose owner is not known yet waits for the coordinator, for half of its time at most")
+{
+    for (bool found : { true, false }) {
+        CAPTURE(found);
+        ManualClock clock;
+        PlacementClient host(clock, {}, [] {});
+        RecordingObserver observer;
+        auto list = servers(1);
+        list.at("s0").service = "keyed";
+        host.setServers(list);
+        balance::Job job;
+        job.id.number = 1;
+        job.service = "keyed";
+        job.key = 7;
+        job.target = clock.now() + std::chrono::milliseconds(1000);
+        job.deadline = clock.now() + std::chrono::milliseconds(4000);
+        host.submit(job, observer);
+        clock.advance(std::chrono::milliseconds(1500));
+        host.tick();
+        CHECK(observer.refused.empty());
+        if (found) {
+            host.onCoordinatorContact(1);
+            wire::Datagram datagram;
+            REQUIRE(host.takeMessages(datagram));
+            REQUIRE(datagram.submits_size() == 1);
+            CHECK(datagram.submits(0).deadline_left_ms() == 2500);
+        }
+        for (int i = 0; i < 10; ++i) {
+            clock.advance(std::chrono::milliseconds(60));
+            if (found)
+                host.onCoordinatorContact(1);
+            host.tick();
+        }
+        // The owner is still unknown; without a coordinator the caller is told to come back.
+        CHECK(observer.refused.contains(1) == !found);
+    }
+}
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -46,6 +46,7 @@
     EdgeServer(net::Reactor& reactor, timeline::EventLog& events, HeaderNames names, Placer& placer);
     ~EdgeServer();
 
+    //! Connections are accepted once a configuration is set, or a short time later without one.
     Result<Success> listen(const net::SocketAddress& address);
     net::SocketAddress address() const;
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
@@ -73,6 +74,7 @@
 
 private:
     void accept(int descriptor);
+    void startAccepting();
     void forEachConnection(const std::function<void(CallerConnection&)>& action);
 
     net::Reactor& reactor;
@@ -84,6 +86,7 @@
     RequestMetrics requestMetrics;
     EdgeContext context;
     std::unique_ptr<net::TcpListener> listener;
+    std::optional<net::Reactor::TimerId> acceptTimer; //!< runs while connections wait for the first configuration
     std::map<CallerConnection*, std::unique_ptr<CallerConnection>> connections;
 };
 
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -10,6 +10,9 @@
 
 // For connections to backend servers that announce no keep-alive time.
 constexpr Duration backendIdleTimeout = std::chrono::seconds(8);
+// A process that has just started reads its configuration within a few hundred milliseconds, which is less than a
+// caller loses by a refusal. Callers give a connection up after a second.
+constexpr Duration maxConfigurationWait = std::chrono::milliseconds(700);
 
 }
 
@@ -24,7 +27,11 @@
 {
 }
 
-EdgeServer::~EdgeServer() = default;
+EdgeServer::~EdgeServer()
+{
+    if (this->acceptTimer)
+        this->reactor.cancel(*this->acceptTimer);
+}
 
 Result<Success> EdgeServer::listen(const net::SocketAddress& address)
 {
@@ -33,9 +40,25 @@
     if (!succeeded(listening))
         return errorOf(listening);
     this->listener = std::move(valueOf(listening));
+    if (!this->context.configuration) {
+        this->listener->setAccepting(false);
+        this->acceptTimer = this->reactor.scheduleAfter(maxConfigurationWait, [this] {
+            this->acceptTimer.reset();
+            this->startAccepting();
+        });
+    }
     return Success {};
 }
 
+void EdgeServer::startAccepting()
+{
+    if (this->acceptTimer)
+        this->reactor.cancel(*this->acceptTimer);
+    this->acceptTimer.reset();
+    if (this->listener)
+        this->listener->setAccepting(true);
+}
+
 net::SocketAddress EdgeServer::address() const
 {
     return this->listener->address();
@@ -44,6 +67,7 @@
 void EdgeServer::setConfiguration(std::shared_ptr<const fleet::Configuration> configuration)
 {
     this->context.configuration = std::move(configuration);
+    this->startAccepting();
     this->split->clear();
 }
 
--- a/libs/net/include/net/TcpListener.h
+++ b/libs/net/include/net/TcpListener.h
@@ -24,6 +24,8 @@
     SocketAddress address() const;
     //! Accepts the connections that the kernel has established. Closing the listener would reset them.
     void acceptPending();
+    //! While off, the kernel establishes connections and they wait in the accept queue.
+    void setAccepting(bool enabled);
 
 private:
     TcpListener(Reactor& reactor, int descriptor, AcceptCallback onAccept);
@@ -33,6 +35,7 @@
     Reactor& reactor;
     int descriptor;
     AcceptCallback onAccept;
+    bool accepting = true;
 };
 
 }
--- a/libs/net/src/TcpListener.cpp
+++ b/libs/net/src/TcpListener.cpp
@@ -44,7 +44,7 @@
 
 TcpListener::~TcpListener()
 {
-    this->reactor.unwatch(this->descriptor);
+    this->setAccepting(false);
     close(this->descriptor);
 }
 
@@ -56,6 +56,17 @@
     return bound;
 }
 
+void TcpListener::setAccepting(bool enabled)
+{
+    if (this->accepting == enabled)
+        return;
+    this->accepting = enabled;
+    if (enabled)
+        this->reactor.watch(this->descriptor, EPOLLIN, *this);
+    else
+        this->reactor.unwatch(this->descriptor);
+}
+
 void TcpListener::acceptPending()
 {
     this->acceptUpTo(backlog);
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -66,6 +66,7 @@
 {
     this->placement = std::make_unique<coordination::PlacementClient>(
         owner.timeSource(), this->schedulerOptions, [this] { this->scheduleFlush(); });
+    this->placement->setSpreadSeed(this->random() | 1U);
 }
 
 CoordinationTask::~CoordinationTask() = default;
