Bound the state sent to hosts by the link, and follow the configuration with long waits at the start

The budget for answers to hosts that lack state was 128 KB a round whatever the link; now a quarter of it (node.link_megabits, from the deployment). Before there has been a coordinator, the feed of the configuration waits long: at a start one is expected within a second, and each return was a call of every host.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -43,6 +43,8 @@
     bool isStarted() const { return this->started; }
     //! `text` is the configuration as stored, which hosts that lack it get from here.
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration, const std::string& text);
+    //! Bandwidth of this host's link, of which the state sent to hosts takes a part.
+    void setLinkSpeed(double megabitsPerSecond);
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
 
@@ -136,6 +138,7 @@
     TimePoint ownersPublishedAt {};
     StatePublisher publisher;
     std::uint64_t stateSequence = 0;
+    std::size_t stateBytesPerRound;
     std::size_t stateBytesLeft = 0; //!< that answers to requests may take until the next beacons
     std::vector<OutgoingDatagram> stateReplies;
     std::map<std::string, KeyedService, std::less<>> keyedServices;
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -25,9 +25,11 @@
 constexpr Duration minStableTime = std::chrono::seconds(2);
 // A host reports the buckets that it lacks until it has received them, so an answer is not repeated sooner than this.
 constexpr Duration stateResendInterval = std::chrono::milliseconds(250);
-// Answers to requests for state between two rounds of beacons: about seven megabits a second, so that placements on the
-// same link are not delayed.
-constexpr std::size_t maxStateBytesPerRound = std::size_t { 128 } * 1024;
+// Answers to requests for state between two rounds of beacons: a quarter of the link, so that placements are not
+// delayed.
+constexpr double stateShareOfLink = 0.25;
+constexpr double secondsPerRound = 0.15;
+constexpr double defaultLinkMegabits = 20;
 // Changes of the list of servers go to all hosts at once up to this size; hosts ask for larger ones.
 constexpr std::size_t maxAnnouncedBytes = std::size_t { 4 } * 1024;
 constexpr Duration ownerPublishInterval = std::chrono::seconds(1);
@@ -51,10 +53,17 @@
     , keyLeaseOptions(leaseOptions)
     , scheduler(schedulerOptions, *this)
 {
+    this->setLinkSpeed(defaultLinkMegabits);
 }
 
 Coordinator::~Coordinator() = default;
 
+void Coordinator::setLinkSpeed(double megabitsPerSecond)
+{
+    this->stateBytesPerRound
+        = static_cast<std::size_t>(megabitsPerSecond * 1e6 / 8 * stateShareOfLink * secondsPerRound);
+}
+
 void Coordinator::start(std::vector<keyspace::KeyPlan> stored)
 {
     for (auto& plan : stored)
@@ -433,7 +442,7 @@
 std::vector<OutgoingDatagram> Coordinator::makeBeacons(const CoordinatorStatus& status)
 {
     std::vector<OutgoingDatagram> result;
-    this->stateBytesLeft = maxStateBytesPerRound;
+    this->stateBytesLeft = this->stateBytesPerRound;
     this->publishOwners();
     auto changes = encodeServerChanges(this->announcedServers, this->servers, maxAnnouncedBytes);
     this->announcedServers = this->servers;
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -77,6 +77,7 @@
     { "store", "address", Address, "127.0.0.1:7100", 0, 0, "HTTP address of the platform's store" },
     { "store", "call_timeout", Duration, "1200ms", 10 * millisecond, minute, "time limit of one call to the store" },
     { "node", "processor_share", Real, "1", 0.001, 1024, "processor cores that this host has" },
+    { "node", "link_megabits", Real, "100", 0.1, 1000000, "bandwidth of this host's network link in Mbit/s" },
     { "grants", "longest_hold", Duration, "10s", 100 * millisecond, minute,
         "longest time for which backend servers take a grant" },
     { "repeats", "ratio", Real, "0.2", 0, 10, "repeated requests allowed per request" },
--- a/programs/node/src/ConfigurationWatcher.cpp
+++ b/programs/node/src/ConfigurationWatcher.cpp
@@ -43,6 +43,7 @@
 {
     bool wasReceiving = this->source == Source::Coordinator;
     this->source = newSource;
+    this->coordinatorSeen = this->coordinatorSeen || newSource != Source::Store;
     if (newSource == Source::Coordinator || this->readInProgress)
         return;
     // A long wait in progress would not detect a stalled connection in time.
@@ -97,7 +98,7 @@
         return;
     this->waitInProgress = true;
     this->store.waitForChanges(std::string(platform_adapter::operatorTable), this->lastStoreVersion,
-        this->source == Source::StoreWithCoordinator ? longFollowWaitMs : followWaitMs,
+        this->source == Source::StoreWithCoordinator || !this->coordinatorSeen ? longFollowWaitMs : followWaitMs,
         [this](Result<store::RowSet> rowSet) {
             this->waitInProgress = false;
             if (succeeded(rowSet))
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -53,6 +53,7 @@
     std::shared_ptr<const fleet::Configuration> configuration;
     store::RowVersion lastStoreVersion = 0;
     Source source = Source::Store;
+    bool coordinatorSeen = false; //!< before, at the start of all hosts, one is expected within a second
     std::string lastReceivedText;
     std::optional<TimePoint> missingSince; //!< when a version that this host lacks was first announced
     bool waitInProgress = false;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -53,6 +53,7 @@
     , incarnation(ownIncarnation)
     , address(settings.text("peers", "listen"))
     , processorShare(settings.real("node", "processor_share"))
+    , linkMegabits(settings.real("node", "link_megabits"))
     , dataCentre(settings.text("host", "data_centre"))
     , store(rows)
     , lastStoreContact(std::move(contact))
@@ -352,6 +353,7 @@
     this->coordinator = std::make_unique<coordination::Coordinator>(
         this->reactor.timeSource(), term, this->schedulerOptions, this->keyLeaseOptions);
     this->coordinator->setConfiguration(this->configuration, this->configurationText);
+    this->coordinator->setLinkSpeed(this->linkMegabits);
     this->coordinator->setServers(this->servers);
     this->coordinator->setPredecessorHosts(this->knownHosts);
     this->loadPlans(term);
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -87,6 +87,7 @@
     std::string incarnation;
     std::string address;
     double processorShare;
+    double linkMegabits;
     std::string dataCentre;
     store::RowStore& store;
     StoreContactCallback lastStoreContact;
