Log lists of servers from the coordinator as counts, and measure the coordinator's processor time

The coordinator's own log keeps each change.

scripts/measure.sh coordination plays the messages of 30 to 500 hosts to a coordinator on a simulated clock and prints its processor time. Orders to servers and system calls are not in it.

--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -45,7 +45,7 @@
 {
     auto before = this->directory.servers();
     if (this->directory.replace(listedServers, this->reactor.now()))
-        this->publish(before);
+        this->publish(before, true);
 }
 
 void ServerWatcher::confirmCoordinatorList()
@@ -102,17 +102,18 @@
     auto before = this->directory.servers();
     // A read that began before polling was disabled is older than the coordinator's list.
     if (this->polling && this->directory.update(entries, this->reactor.now()))
-        this->publish(before);
+        this->publish(before, false);
 }
 
-void ServerWatcher::publish(const fleet::ServerMap& before)
+void ServerWatcher::publish(const fleet::ServerMap& before, bool fromCoordinator)
 {
-    this->logChanges(before);
+    this->logChanges(before, fromCoordinator);
     this->changed(this->directory.servers());
 }
 
-// A start or a takeover changes hundreds of entries at once on every host, so large changes are logged as counts.
-void ServerWatcher::logChanges(const fleet::ServerMap& before) const
+// Lists from the coordinator are logged as counts, since the coordinator's own log has each change, and the hosts would
+// write it some hundred times. So are large changes, such as the first list.
+void ServerWatcher::logChanges(const fleet::ServerMap& before, bool fromCoordinator) const
 {
     std::vector<std::pair<const char*, const fleet::ServerEntry*>> changes;
     for (const auto& [id, entry] : this->directory.servers()) {
@@ -128,7 +129,7 @@
         if (!this->directory.servers().contains(id))
             changes.emplace_back("gone", &entry);
     }
-    if (changes.size() > maxLoggedChanges) {
+    if (fromCoordinator || changes.size() > maxLoggedChanges) {
         std::map<std::string, std::size_t> counts;
         for (const auto& [change, entry] : changes)
             ++counts[change];
@@ -136,7 +137,8 @@
         for (const auto& [change, count] : counts)
             summary += (summary.empty() ? "" : ",") + change + ":" + std::to_string(count);
         this->events.record(timeline::Severity::Info, "servers",
-            { { "changes", summary }, { "servers", std::to_string(this->directory.servers().size()) } });
+            { { "changes", summary }, { "servers", std::to_string(this->directory.servers().size()) },
+                { "source", fromCoordinator ? "coordinator" : "store" } });
         return;
     }
     for (const auto& [change, entry] : changes)
--- a/programs/node/src/ServerWatcher.h
+++ b/programs/node/src/ServerWatcher.h
@@ -32,9 +32,9 @@
 private:
     void readAll();
     void scheduleRead(TimePoint when);
-    void publish(const fleet::ServerMap& before);
+    void publish(const fleet::ServerMap& before, bool fromCoordinator);
     void applyRows(const store::RowSet& rowSet);
-    void logChanges(const fleet::ServerMap& before) const;
+    void logChanges(const fleet::ServerMap& before, bool fromCoordinator) const;
 
     net::Reactor& reactor;
     store::RowStore& store;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -11,6 +11,9 @@
 measure_outage() {
     build/bin/outage-benchmark "$@"
 }
+measure_coordination() {
+    build/bin/sequoia-bench-coordination "$@"
+}
 measure_recovery() {
     scripts/measure-recovery.sh "$@"
 }
