With many hosts, submit again later and wait longer for a late coordinator

So the coordinator replied after more than 250 ms. By then each host has submitted each job three times (40, 80, 160 ms), and it withdraws it and places it by a copy of the owners that is a second old: the load of a late coordinator grows by its lateness.

Both times now grow with the number of hosts above 60: 130 and 812 ms at 195. Up to 60 hosts nothing changes. A lost coordinator is noticed by its missing beacons, after 500 ms as before. Test first: with the old times a job was submitted four times and placed by its host.

--- a/bench/coordination/src/CoordinationLoad.cpp
+++ b/bench/coordination/src/CoordinationLoad.cpp
@@ -10,6 +10,8 @@
 constexpr int stepsPerTick = 2;
 constexpr int stepsPerRound = 15;
 constexpr double keyedShare = 0.6;
+constexpr std::uint64_t hotKeys = 200;
+constexpr Duration hotKeyPeriod = std::chrono::seconds(5);
 constexpr Duration target = std::chrono::milliseconds(1000);
 constexpr Duration deadline = std::chrono::milliseconds(4000);
 
@@ -97,7 +99,7 @@
         bool keyed = static_cast<double>(this->random() % 1000) < keyedShare * 1000;
         message->set_service(keyed ? "keyed" : "plain");
         message->set_keyed(keyed);
-        message->set_key(keyed ? static_cast<std::uint32_t>(this->random() % fleet::keyCount) : 0);
+        message->set_key(keyed ? this->drawKey() : 0);
         message->set_target_left_ms(toMillis(target));
         message->set_deadline_left_ms(toMillis(deadline));
         message->set_max_attempts(2);
@@ -106,6 +108,15 @@
     }
 }
 
+// The hot keys are next to each other and change every few seconds.
+std::uint32_t CoordinationLoad::drawKey()
+{
+    if (static_cast<double>(this->random() % 1000) >= this->size.hotShare * 1000)
+        return static_cast<std::uint32_t>(this->random() % fleet::keyCount);
+    auto period = static_cast<std::uint64_t>(this->clock.now().time_since_epoch() / hotKeyPeriod);
+    return static_cast<std::uint32_t>((period * 9973 + this->random() % hotKeys) % fleet::keyCount);
+}
+
 void CoordinationLoad::endJobs()
 {
     while (!this->running.empty() && this->running.begin()->first <= this->clock.now()) {
--- a/bench/coordination/src/CoordinationLoad.h
+++ b/bench/coordination/src/CoordinationLoad.h
@@ -18,6 +18,7 @@
     Duration serviceTime = std::chrono::milliseconds(250);
     double serversPerHost = 2.8;
     std::uint32_t slots = 2;
+    double hotShare = 0; //!< of the keyed requests, to a few keys
 };
 
 //! Processor time of the coordinator by kind of work, in seconds per simulated second.
@@ -54,6 +55,7 @@
 
     void answerOrders();
     void submitJobs(Duration step);
+    std::uint32_t drawKey();
     void endJobs();
     void sendReports();
     void handleReplies(const std::vector<coordination::OutgoingDatagram>& replies);
--- a/bench/coordination/src/main.cpp
+++ b/bench/coordination/src/main.cpp
@@ -5,6 +5,7 @@
 
 DEFINE_double(requests_per_host, 13, "requests per second and host");
 DEFINE_double(overload, 1, "factor on the requests; above 1.4 the servers cannot serve all");
+DEFINE_double(hot_share, 0, "share of the keyed requests that go to a few keys, which change every five seconds");
 DEFINE_uint64(seed, 1, "seed of arrivals and service times");
 DEFINE_uint32(seconds, 5, "simulated seconds that are measured");
 
@@ -19,6 +20,7 @@
         sequoia::bench::DeploymentSize size;
         size.hosts = hosts;
         size.requestsPerSecond = FLAGS_requests_per_host * FLAGS_overload * static_cast<double>(hosts);
+        size.hotShare = FLAGS_hot_share;
         sequoia::bench::CoordinationLoad load(size, FLAGS_seed);
         auto result = load.run(std::chrono::seconds(3), std::chrono::seconds(FLAGS_seconds));
         const auto& time = result.time;
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -35,7 +35,8 @@
     void setSpreadSeed(std::uint64_t seed) { this->scheduler.setSpreadSeed(seed); }
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
-    //! Number of hosts that share the retry budget while each of them places its jobs locally.
+    //! Number of hosts that share the retry budget while each of them places its jobs locally. The times after which a
+    //! job is submitted again or placed locally depend on it, too.
     void setHostCount(std::uint32_t hosts);
     //! Places new jobs through the coordinator of the term, and resubmits the jobs that wait at one of another term.
     void onCoordinatorContact(std::uint64_t term);
@@ -95,6 +96,8 @@
     fleet::ServerMap servers; //!< with the leaving ones marked as draining
     fleet::LeavingServers leavingServers;
     std::map<fleet::ServerInstance, TimePoint> pauses; //!< that servers asked this host for, with their ends
+    Duration resendInterval {};
+    Duration replyTimeout {};
     std::uint64_t hostNumber = 0;
     bool coordinatorActive = false;
     TimePoint lastCoordinatorContact {};
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -14,9 +14,12 @@
 constexpr Duration coordinatorTimeout = std::chrono::milliseconds(500);
 // Interval before an unacknowledged submission is first resent, then doubled; longer than a round trip between data
 // centres.
-constexpr Duration resendInterval = std::chrono::milliseconds(40);
+constexpr Duration minResendInterval = std::chrono::milliseconds(40);
 // A coordinator that does not reply within this time is overloaded, and the host places the job locally.
-constexpr Duration replyTimeout = std::chrono::milliseconds(250);
+constexpr Duration minReplyTimeout = std::chrono::milliseconds(250);
+// With more hosts than this, both times grow with their number: a coordinator of many hosts that is late by some tenths
+// of a second would get each submission several times, and the hosts together would overload the servers.
+constexpr double hostsWithMinTimeouts = 60;
 // Job ends are repeated in datagrams for this time, at most this many in each.
 constexpr Duration jobEndRepeatPeriod = std::chrono::milliseconds(120);
 constexpr std::size_t maxRepeatedJobEnds = 12;
@@ -190,6 +193,12 @@
 
 void PlacementClient::setHostCount(std::uint32_t hosts)
 {
+    double factor = std::max(1.0, hosts / hostsWithMinTimeouts);
+    auto scaled = [factor](Duration time) {
+        return Duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * factor));
+    };
+    this->resendInterval = scaled(minResendInterval);
+    this->replyTimeout = scaled(minReplyTimeout);
     this->scheduler.setRetryShare(1.0 / std::max(1U, hosts));
 }
 
@@ -362,9 +371,9 @@
     for (auto& [number, entry] : this->pendingJobs) {
         if (!entry.atCoordinator || entry.acknowledged)
             continue;
-        if (now - entry.firstSent >= replyTimeout)
+        if (now - entry.firstSent >= this->replyTimeout)
             unanswered.push_back(number);
-        else if (now - entry.lastSent >= resendInterval * (1U << entry.resendCount)) {
+        else if (now - entry.lastSent >= this->resendInterval * (1U << entry.resendCount)) {
             ++entry.resendCount;
             this->sendSubmit(entry);
         }
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -541,3 +541,33 @@
         CHECK(observer.refused.contains(1) == !found);
     }
 }
+
+// Guards against a late coordinator that becomes later because each job is submitted again several times and is then
+// placed locally (gctm-rdv-large trouble-1, second 22 on, one of two plays).
+TEST_CASE("with many hosts, a coordinator that replies after 300 ms gets each job at most twice and places all")
+{
+    CoordinationFixture fixture(2);
+    fixture.host.setHostCount(195);
+    std::size_t submissions = 0;
+    for (int job = 0; job < 4; ++job) {
+        auto number = fixture.submit();
+        std::vector<wire::Datagram> late;
+        for (int i = 0; i < 15; ++i) {
+            wire::Datagram datagram;
+            if (fixture.host.takeMessages(datagram)) {
+                submissions += static_cast<std::size_t>(datagram.submits_size());
+                datagram.set_sender("host");
+                late.push_back(datagram);
+            }
+            fixture.clock.advance(std::chrono::milliseconds(20));
+            fixture.host.onCoordinatorContact(1);
+            fixture.host.tick();
+        }
+        CHECK_FALSE(fixture.observer.placed.contains(number));
+        for (const auto& datagram : late)
+            fixture.coordinator.receive(datagram, hostAddress);
+        fixture.sendToHost();
+        CHECK(fixture.observer.placed[number].term == 1);
+    }
+    CHECK(submissions <= 8);
+}
