--- a/libs/dispatch/src/RequestStateMachine.cpp
+++ b/libs/dispatch/src/RequestStateMachine.cpp
@@ -14,7 +14,7 @@
 //! Exponential backoff with jitter over its upper half, so that requests that failed together do not retry together.
 Duration backoffAfter(AttemptNumber attempts, RandomEngine& random)
 {
-    auto doublings = std::min(attempts, maxDoublings);
+    auto doublings = std::min(attempts > 0 ? attempts - 1 : 0, maxDoublings);
     auto upperBound = std::min(maxBackoff, baseBackoff * (1U << doublings));
     std::uniform_int_distribution<Duration::rep> jitter(upperBound.count() / 2, upperBound.count());
     return Duration(jitter(random));
--- a/libs/dispatch/tests/RequestStateMachineTest.cpp
+++ b/libs/dispatch/tests/RequestStateMachineTest.cpp
@@ -316,3 +316,25 @@
         CHECK((machine.state() == RequestState::Finished) == bodyDiscarded);
     }
 }
+
+TEST_CASE("the first retry waits for the base backoff, and later ones for twice as long each")
+{
+    RetryBudget budget(0.5);
+    RandomEngine random { 7 };
+    RequestStateMachine machine({ true, start + lifetime, attemptTimeout }, budget);
+    machine.start();
+    auto now = start;
+    auto longest = std::chrono::milliseconds(10);
+    for (AttemptNumber attempt = 1; attempt <= 2; ++attempt) {
+        machine.handle(event::SlotGranted {}, now, random);
+        machine.handle(event::FirstByteSent { attempt }, now, random);
+        machine.handle(event::ServerRejected { attempt }, now, random);
+        auto timer = machine.nextTimer();
+        REQUIRE(timer);
+        CHECK(*timer - now <= longest);
+        CHECK(*timer - now >= longest / 2);
+        now = *timer;
+        machine.handle(event::TimerExpired {}, now, random);
+        longest *= 2;
+    }
+}
--- a/libs/tenure/tests/CoordinatorElectionTest.cpp
+++ b/libs/tenure/tests/CoordinatorElectionTest.cpp
@@ -180,13 +180,15 @@
     void call(Host& host, std::function<std::function<void()>()> effect, std::function<void()> unknown)
     {
         bool unreachable = this->now < this->storeDownUntil || this->now < host.partitionedUntil;
+        bool executesLate = this->chance(this->faults.delayed);
+        bool replyLost = executesLate || this->chance(this->faults.replyLost);
         Call call { this->now + std::chrono::milliseconds(10), this->now + std::chrono::milliseconds(20),
             std::move(effect), {}, false };
         if (unreachable) {
             call.effect = [unknown] { return unknown; };
             call.repliesAt = this->now + std::chrono::milliseconds(1200);
-        } else if (this->chance(this->faults.replyLost) || this->chance(this->faults.delayed)) {
-            if (this->chance(0.5))
+        } else if (replyLost) {
+            if (executesLate)
                 call.executesAt = this->now + std::chrono::seconds(2);
             call.lost = true;
             this->calls.push_back(call);
