Do not run all decisions after each answered renewal

Each response to a lease order ran the coordinator's whole tick: all key ranges and all queues.

Now an accepted renewal causes no run, and other responses share one after 5 ms.

--- a/bench/coordination/src/CoordinationLoad.h
+++ b/bench/coordination/src/CoordinationLoad.h
@@ -18,6 +18,7 @@
     Duration serviceTime = std::chrono::milliseconds(250);
     double serversPerHost = 2.8;
     std::uint32_t slots = 2;
+    bool tickOnResponse = false; //!< runs all decisions after each response to an order
     double hotShare = 0; //!< of the keyed requests, to a few keys
 };
 
@@ -36,6 +37,7 @@
     std::uint64_t submitted = 0;
     std::uint64_t placed = 0;
     std::uint64_t refused = 0;
+    std::uint64_t orders = 0; //!< grants, renewals and releases
     double beaconBytesPerHostSecond = 0;
 };
 
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -14,6 +14,8 @@
 constexpr const char* planTable = "sequoia-plans";
 // A placement waits for at most one tick. A tick without work costs a few microseconds.
 constexpr Duration busyTickInterval = std::chrono::milliseconds(20);
+// After the response to a lease order, which lets a move go on.
+constexpr Duration runDelay = std::chrono::milliseconds(5);
 constexpr Duration idleTickInterval = std::chrono::milliseconds(50);
 // A host places its jobs locally after several missed beacons.
 constexpr Duration reportInterval = std::chrono::milliseconds(150);
@@ -481,6 +483,20 @@
                     { "last", std::to_string(order.keys.last) }, { "fence", std::to_string(order.fence) },
                     { "result", std::to_string(static_cast<int>(response.result)) } });
         this->coordinator->onOrderResponse(order, response);
+        // Hundreds of renewals are answered every second, and nothing follows from them.
+        if (!order.renewal || response.result != keyspace::LeaseOrderResult::Accepted)
+            this->scheduleRun();
+    });
+}
+
+// A run looks at all key ranges and queues, so responses that arrive together share one.
+void CoordinationTask::scheduleRun()
+{
+    if (this->runScheduled)
+        return;
+    this->runScheduled = true;
+    this->reactor.scheduleAfter(runDelay, [this] {
+        this->runScheduled = false;
         this->runCoordinator();
     });
 }
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -79,6 +79,7 @@
     void startHandover(const std::string& reason);
     void sendBeacons();
     void runCoordinator();
+    void scheduleRun();
     void sendLeaseOrder(const keyspace::LeaseOrder& order);
     void onPlansWritten(const tenure::PlansWritten& written);
 
@@ -111,6 +112,7 @@
     TimePoint lastRowContact {};
     bool shuttingDown = false;
     bool flushScheduled = false;
+    bool runScheduled = false;
     TimePoint lastReportSent {};
     TimePoint lastBeaconSent {};
 };
