Report a leaving server only while the host's list shows it as ready

Found when reading the change: a host remembers every server that it has seen leave, for ten minutes after it is gone, and named all of them in each report. The coordinator knows the servers that its list shows as draining or no longer at all. Test first: the report of a host whose list shows the server as draining named it.

--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -52,7 +52,8 @@
     bool takeMessages(wire::Datagram& datagram);
     //! Fills in the loads of the periodic report.
     void fillReport(wire::Report& report) const;
-    //! Adds all that servers have announced and that is still in force, since earlier messages may have been lost.
+    //! Adds what servers have announced and the coordinator does not seem to know, since earlier messages may have been
+    //! lost.
     void fillNotices(wire::Datagram& datagram) const;
 
     KeyPlanCache& plans() { return this->planCache; }
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -156,8 +156,12 @@
 void PlacementClient::fillNotices(wire::Datagram& datagram) const
 {
     std::set<fleet::ServerInstance> instances;
-    for (auto& instance : this->leavingServers.instances())
-        instances.insert(std::move(instance));
+    for (const auto& instance : this->leavingServers.instances()) {
+        // The coordinator's list shows the others as draining or no longer at all.
+        auto listed = this->listedServers.find(instance.id);
+        if (listed != this->listedServers.end() && listed->second.state == fleet::ServerState::Ready)
+            instances.insert(instance);
+    }
     for (const auto& [instance, until] : this->pauses) {
         if (until > this->clock.now())
             instances.insert(instance);
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -571,3 +571,25 @@
     }
     CHECK(submissions <= 8);
 }
+
+// Guards against reports that grow with every server that has ever left.
+TEST_CASE("a report names a leaving server only while the host's list still shows it as ready")
+{
+    CoordinationFixture fixture(2);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    auto leaving = fixture.observer.placed.at(job).server;
+    fixture.host.reportNotice(job, leavingNotice);
+    CHECK(reportOf(fixture.host, "host").notices_size() == 1);
+    auto list = servers(2);
+    list.at(leaving).state = fleet::ServerState::Draining;
+    fixture.host.setServers(list);
+    CHECK(reportOf(fixture.host, "host").notices_size() == 0);
+    // A new coordinator whose list is older.
+    fixture.host.setServers(servers(2));
+    CHECK(reportOf(fixture.host, "host").notices_size() == 1);
+    list.erase(leaving);
+    fixture.host.setServers(list);
+    CHECK(reportOf(fixture.host, "host").notices_size() == 0);
+}
