Keep a connection whose response is not sent yet when the host stops

Found when reading the change: since idle connections are closed at once during a stop, one whose caller reads slowly would lose the part of a finished response that waits in this process. No test shows it: a caller that stops reading found all of the rest in the kernel's buffers in the two plays that were tried (24 MB, small receive buffer), with and without this line. The condition is read off the code.

--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -313,7 +313,8 @@
 // not read. A response that was sent this long ago has arrived.
 void CallerConnection::closeIfIdle()
 {
-    bool inUse = this->request || this->headStarted || this->closing || this->stream.hasPendingInput();
+    bool inUse = this->request || this->headStarted || this->closing || this->stream.unsentBytes() > 0
+        || this->stream.hasPendingInput();
     if (!inUse && this->context.reactor.now() - this->idleSince >= minIdleBeforeClose)
         this->close();
 }
