--- a/libs/coordination/src/StateEncoding.cpp
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -62,6 +62,7 @@
     for (const auto& [id, entry] : servers)
         fillRow(entry, *rows[XXH3_64bits(id.data(), id.size()) % serverBuckets].add_rows());
     std::vector<std::string> buckets;
+    buckets.reserve(rows.size());
     for (const auto& bucket : rows)
         buckets.push_back(bucket.SerializeAsString());
     return buckets;
@@ -145,6 +146,7 @@
         }
     }
     std::vector<std::string> result;
+    result.reserve(buckets.size());
     for (const auto& bucket : buckets)
         result.push_back(bucket.SerializeAsString());
     return result;
