With many waiting jobs, look up changed owners at an interval

Now at most each 20 ms with more than 100 waiting jobs; a job is checked against its present owner before it is placed.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -81,7 +81,9 @@
 
     Pool& poolOf(const std::string& service);
     std::string queueNameOf(const Job& job) const;
-    void requeueAfterOwnerChange(Pool& pool);
+    void requeueAfterOwnerChange(Pool& pool, TimePoint now);
+    //! Whether the server still owns the key of a job in its queue.
+    bool isOwnedBy(const Pool& pool, const Job& job, const std::string& server) const;
     void dispatchQueue(Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
     void dispatch(Pool& pool, TimePoint now, std::vector<SchedulingDecision>& decisions);
     double spreadFactor(const std::string& server) const;
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -35,6 +35,10 @@
 // A placed job whose end is not reported is dropped this long after its deadline.
 constexpr Duration missingReportTimeout = std::chrono::milliseconds(500);
 
+// With more waiting jobs than this, they are queued anew after changes of owners at this interval.
+constexpr std::size_t jobsRequeuedAtOnce = 100;
+constexpr Duration requeueInterval = std::chrono::milliseconds(20);
+
 const std::string queueWithoutOwner;
 
 }
@@ -57,7 +61,8 @@
     bool keyed = false;
     //! By owner for keyed services; jobs whose key is moving and jobs of unkeyed services are in queueWithoutOwner.
     std::map<std::string, Queue> queues;
-    std::uint64_t ownerVersion = 0;
+    std::uint64_t ownerVersion = 0; //!< for which the jobs were queued
+    TimePoint requeuedAt {};
     std::vector<ServerLoad*> members;
     //! Jobs that all servers together finish per average service time; cached, since every arrival needs it.
     double effectiveSlots = 0;
@@ -163,11 +168,15 @@
     return owner.ownership == Ownership::Owned ? owner.server : queueWithoutOwner;
 }
 
-void Scheduler::requeueAfterOwnerChange(Pool& pool)
+// After a takeover each of hundreds of grants changes the owners, while all jobs of the last seconds wait.
+void Scheduler::requeueAfterOwnerChange(Pool& pool, TimePoint now)
 {
     if (!pool.keyed || pool.ownerVersion == this->owners.ownerVersion())
         return;
+    if (this->waiting.size() > jobsRequeuedAtOnce && now - pool.requeuedAt < requeueInterval)
+        return;
     pool.ownerVersion = this->owners.ownerVersion();
+    pool.requeuedAt = now;
     auto queues = std::move(pool.queues);
     pool.queues.clear();
     for (auto& [name, queue] : queues) {
@@ -176,6 +185,11 @@
     }
 }
 
+bool Scheduler::isOwnedBy(const Pool& pool, const Job& job, const std::string& server) const
+{
+    return pool.ownerVersion == this->owners.ownerVersion() || this->queueNameOf(job) == server;
+}
+
 std::optional<JobRefusal> Scheduler::admissionRefusal(Pool& pool, const Job& job, TimePoint now)
 {
     auto timeLeft = std::max(Duration::zero(), job.deadline - now);
@@ -204,7 +218,7 @@
     std::vector<SchedulingDecision> decisions;
     auto& pool = this->poolOf(job.service);
     pool.keyed = pool.keyed || job.key.has_value();
-    this->requeueAfterOwnerChange(pool);
+    this->requeueAfterOwnerChange(pool, now);
     if (auto refusal = this->admissionRefusal(pool, job, now)) {
         decisions.emplace_back(*refusal);
         return decisions;
@@ -262,7 +276,7 @@
         this->quarantine.recordLoss(placement.fingerprint, placement.server, now);
     if (result == JobResult::ConnectFailed)
         this->quarantine.recordCrash(placement.server, now);
-    this->requeueAfterOwnerChange(pool);
+    this->requeueAfterOwnerChange(pool, now);
     // Only this server has a slot that was not free before.
     this->dispatchQueue(pool, pool.keyed ? placement.server : queueWithoutOwner, now, decisions);
     return decisions;
@@ -334,7 +348,7 @@
 
 void Scheduler::dispatch(Pool& pool, TimePoint now, std::vector<SchedulingDecision>& decisions)
 {
-    this->requeueAfterOwnerChange(pool);
+    this->requeueAfterOwnerChange(pool, now);
     for (auto& [name, queue] : pool.queues)
         this->dispatchQueue(pool, name, now, decisions);
 }
@@ -358,7 +372,7 @@
             std::optional<std::string> server;
             if (!pool.keyed)
                 server = this->chooseServer(pool, job, now);
-            else if (!name.empty()) {
+            else if (!name.empty() && this->isOwnedBy(pool, job, name)) {
                 auto load = this->loads.find(name);
                 if (load != this->loads.end() && load->second.hasFreeSlot(extraJobsKeyed, this->slotShare, now)
                     && now >= load->second.pausedUntil(job.id.host))
--- a/libs/balance/tests/SchedulerTest.cpp
+++ b/libs/balance/tests/SchedulerTest.cpp
@@ -19,6 +19,7 @@
 public:
     Owner ownerOf(std::string_view, fleet::Key key) const override
     {
+        ++this->lookups;
         auto found = this->owners.find(key);
         return found == this->owners.end() ? this->defaultOwner : found->second;
     }
@@ -27,6 +28,7 @@
     std::map<fleet::Key, Owner> owners;
     Owner defaultOwner { Ownership::Unowned, {} };
     std::uint64_t version = 1;
+    mutable std::size_t lookups = 0;
 };
 
 //! A scheduler with servers s0, s1, ... of two slots each, and a simulated clock.
@@ -559,3 +561,39 @@
     // Two for each server on average; ten or more at one of a hundred servers has a probability below 0.5%.
     CHECK(busiest->second < 10);
 }
+
+// Guards against a coordinator that queues thousands of waiting jobs anew after each of hundreds of grants.
+TEST_CASE(
+    "with many waiting jobs, owners that change often are looked up at an interval, and no job goes to a former one")
+{
+    TestScheduler test(2);
+    test.owners.defaultOwner = { Ownership::Moving, {} };
+    for (int i = 0; i < 200; ++i) {
+        auto job = test.job(std::chrono::seconds(60), std::chrono::seconds(120));
+        job.key = static_cast<fleet::Key>(i);
+        test.submit(job);
+    }
+    test.owners.defaultOwner = { Ownership::Owned, "s0" };
+    test.now += std::chrono::milliseconds(100);
+    ++test.owners.version;
+    auto lookups = test.owners.lookups;
+    auto placed = test.scheduler.tick(test.now);
+    CHECK(placed.size() == 3);
+    CHECK(test.owners.lookups - lookups >= 200);
+    // Hundreds of further changes within the interval.
+    lookups = test.owners.lookups;
+    for (int i = 0; i < 300; ++i) {
+        ++test.owners.version;
+        test.scheduler.tick(test.now);
+    }
+    CHECK(test.owners.lookups - lookups < 1000);
+    // The keys have another owner by now, and a slot of the former one becomes free.
+    test.owners.defaultOwner = { Ownership::Owned, "s1" };
+    ++test.owners.version;
+    CHECK(test.endJob(std::get<JobPlacement>(placed[0]).job).empty());
+    test.now += std::chrono::milliseconds(20);
+    auto moved = test.scheduler.tick(test.now);
+    REQUIRE(!moved.empty());
+    for (const auto& decision : moved)
+        CHECK(std::get<JobPlacement>(decision).server == "s1");
+}
