--- a/review/standins/extra_answers.cpp
+++ b/review/standins/extra_answers.cpp
@@ -1,5 +1,6 @@
 // Case "extra answers": servers send some of their answers a second time, late, and turn requests away for a while.
-// Usage: extra-answers REPOSITORY RECORD TROUBLE SEED
+// Variant bytes: rejections bear ids, no server turns requests away, and the extra bytes are a rejection without an id.
+// Usage: extra_answers REPOSITORY RECORD TROUBLE SEED [copy|bytes]
 #include "server.h"
 
 using namespace standins;
@@ -26,9 +27,11 @@
 {
     if (argc < 5)
         return 2;
+    alarm(maxRunSeconds);
     std::string repository = argv[1];
     bool trouble = std::string(argv[3]) != "0";
     auto seed = static_cast<std::uint64_t>(std::atoll(argv[4]));
+    bool bytes = argc > 5 && std::string(argv[5]) == "bytes";
     char folderName[] = "/tmp/sequoia-review-XXXXXX";
     std::string folder = mkdtemp(folderName);
     Record record(argv[2]);
@@ -40,6 +43,8 @@
         options.id = "i-desk-" + std::to_string(i);
         options.service = "order-desk";
         options.zone = "zone-a";
+        options.echoesAlways = bytes;
+        options.extraBytes = bytes ? rejection(503) : "";
         servers.push_back(std::make_unique<Server>(options, oracle, seed * 100 + static_cast<std::uint64_t>(i)));
     }
     Json config { { "version", "r1" },
@@ -94,7 +99,7 @@
             if (!trouble)
                 continue;
             for (auto& server : servers)
-                server->shedShare = shedShare;
+                server->shedShare = bytes ? 0 : shedShare;
             for (std::size_t i = 0; i < static_cast<std::size_t>(serverCount * garbledServers); ++i)
                 servers[i]->extraShare = extraShare;
             record.line("disruption begins");
--- a/review/standins/fraction_bound.cpp
+++ b/review/standins/fraction_bound.cpp
@@ -21,6 +21,7 @@
 {
     if (argc < 5)
         return 2;
+    alarm(maxRunSeconds);
     std::string repository = argv[1];
     bool trouble = std::string(argv[3]) != "0";
     auto seed = static_cast<std::uint64_t>(std::atoll(argv[4]));
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -26,6 +26,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -37,6 +38,9 @@
 using Json = nlohmann::json;
 using Clock = std::chrono::steady_clock;
 
+//! A test that takes longer is ended by the system, and its hosts with it.
+constexpr unsigned maxRunSeconds = 119;
+
 inline const Clock::time_point start = Clock::now();
 
 inline std::int64_t nowMillis()
@@ -470,6 +474,8 @@
         int log = open(this->logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         this->process = fork();
         if (this->process == 0) {
+            // No host outlives the test, also when the test is killed.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             dup2(log, 1);
             dup2(log, 2);
             execl(this->program.c_str(), this->program.c_str(), setting.c_str(), nullptr);
