Accept fractions in durations of the settings

Cause: deploy/node.ini appends the unit to the figure, and the settings library read the amount of a duration as a whole number, so that "6.5s" had the unit ".5s". Processes ended with status 3 at each start; running ones refused the reload. Ruled out: the template, the reload path, and plain numbers, which took fractions already.

--- a/libs/settings/include/settings/Schema.h
+++ b/libs/settings/include/settings/Schema.h
@@ -14,7 +14,7 @@
     Number, //!< whole number
     Real,
     Flag, //!< true or false
-    Duration, //!< whole number with unit us, ms, s or min
+    Duration, //!< number, also a fraction, with unit us, ms, s or min
     Size, //!< whole number of bytes with unit B, KiB or MiB
     List, //!< elements separated by semicolons
 };
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -134,16 +134,19 @@
     { "min", minute } } };
 constexpr std::array<Unit, 3> sizeUnits { { { "B", 1 }, { "KiB", kibibyte }, { "MiB", mebibyte } } };
 
-Result<double> parseWithUnit(std::span<const Unit> units, const std::string& value, const std::string& remedy)
+enum class Amount { Whole, Decimal };
+
+Result<double> parseWithUnit(
+    std::span<const Unit> units, Amount kind, const std::string& value, const std::string& remedy)
 {
-    std::uint64_t amount = 0;
+    double amount = 0;
     auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), amount);
     std::string_view unit(end, value.data() + value.size() - end);
-    if (status == std::errc()) {
-        for (const auto& candidate : units) {
-            if (candidate.name == unit)
-                return static_cast<double>(amount) * candidate.factor;
-        }
+    if (status != std::errc() || !std::isfinite(amount) || (kind == Amount::Whole && amount != std::floor(amount)))
+        return Error { ErrorKind::InvalidSettings, "\"" + value + "\" has no valid amount", remedy };
+    for (const auto& candidate : units) {
+        if (candidate.name == unit)
+            return amount * candidate.factor;
     }
     return Error { ErrorKind::InvalidSettings, "\"" + value + "\" has no valid unit", remedy };
 }
@@ -237,10 +240,11 @@
 Result<double> parseQuantity(SettingType type, const std::string& value)
 {
     if (type == Duration)
-        return parseWithUnit(
-            durationUnits, value, "write a whole number with the unit us, ms, s or min, for example 800ms");
+        return parseWithUnit(durationUnits, Amount::Decimal, value,
+            "write a number with the unit us, ms, s or min, for example 800ms or 6.5s");
     if (type == Size)
-        return parseWithUnit(sizeUnits, value, "write a whole number with the unit B, KiB or MiB, for example 64MiB");
+        return parseWithUnit(
+            sizeUnits, Amount::Whole, value, "write a whole number with the unit B, KiB or MiB, for example 64MiB");
     return parsePlain(value, type == Number);
 }
 
