Keep the retry budget in windows of any length

With fractions allowed, budget_window_s may be 2.5 or 0.5. The budget counted by whole seconds and rounded the window down, so services would have seen more retries than the budget within a window; a window below one second aborted the process by an assertion. Counts are now kept by tenths of the window. With whole windows of 10 s nothing changes.

A reload that makes the window longer gave out the whole slack again at once, although retries that had left the old window still lie in the new one. The slack now becomes available anew over the new window.

--- a/libs/balance/include/balance/RetryBudget.h
+++ b/libs/balance/include/balance/RetryBudget.h
@@ -12,7 +12,7 @@
 //! retries would take the slots of first attempts.
 class RetryBudget {
 public:
-    //! Within `window`, the budget is `ratio` retries per request and `slack` retries besides.
+    //! Within `window`, which is above zero, the budget is `ratio` retries per request and `slack` retries besides.
     RetryBudget(Duration window, double ratio, double slack);
 
     void setLimits(Duration window, double ratio, double slack);
@@ -22,18 +22,19 @@
     bool tryAcquire(TimePoint now, double share);
 
 private:
-    struct SecondCounts {
-        std::int64_t number = 0;
+    //! Counts of a part of the window.
+    struct Counts {
+        TimePoint end;
         std::uint64_t requests = 0;
         std::uint64_t retries = 0;
     };
 
-    SecondCounts& currentSecond(TimePoint now);
+    Counts& currentCounts(TimePoint now);
 
     Duration window;
     double ratio;
     double slack;
-    std::deque<SecondCounts> seconds;
+    std::deque<Counts> parts;
     std::optional<TimePoint> firstUse;
 };
 
--- a/libs/balance/src/RetryBudget.cpp
+++ b/libs/balance/src/RetryBudget.cpp
@@ -10,6 +10,8 @@
 // Share of the budget that is used. The rest covers retries in flight and hosts that temporarily decide independently,
 // which together must not exceed the budget.
 constexpr double usedBudgetShare = 0.8;
+// Counts are removed by parts of the window, so the sum covers between one window and one part more.
+constexpr std::int64_t partsPerWindow = 10;
 
 }
 
@@ -18,11 +20,15 @@
     , ratio(allowedRatio)
     , slack(allowedSlack)
 {
-    assert(length >= std::chrono::seconds(1));
+    assert(length > Duration::zero());
 }
 
 void RetryBudget::setLimits(Duration length, double allowedRatio, double allowedSlack)
 {
+    assert(length > Duration::zero());
+    // Retries that have left the old window may still lie in a longer one, so the slack becomes available anew.
+    if (length > this->window)
+        this->firstUse.reset();
     this->window = length;
     this->ratio = allowedRatio;
     this->slack = allowedSlack;
@@ -30,15 +36,15 @@
 
 void RetryBudget::recordRequest(TimePoint now)
 {
-    ++this->currentSecond(now).requests;
+    ++this->currentCounts(now).requests;
 }
 
 bool RetryBudget::tryAcquire(TimePoint now, double share)
 {
-    auto& second = this->currentSecond(now);
+    auto& current = this->currentCounts(now);
     double requests = 0;
     double retries = 0;
-    for (const auto& entry : this->seconds) {
+    for (const auto& entry : this->parts) {
         requests += static_cast<double>(entry.requests);
         retries += static_cast<double>(entry.retries);
     }
@@ -49,21 +55,21 @@
     double usableSlack = this->slack * share * std::clamp(elapsedWindowShare, 0.0, 1.0);
     if (retries + 1 > usedBudgetShare * (this->ratio * requests + usableSlack))
         return false;
-    ++second.retries;
+    ++current.retries;
     return true;
 }
 
-RetryBudget::SecondCounts& RetryBudget::currentSecond(TimePoint now)
+RetryBudget::Counts& RetryBudget::currentCounts(TimePoint now)
 {
     if (!this->firstUse)
         this->firstUse = now;
-    std::int64_t number = toMillis(now) / 1000;
-    // Counts are removed by whole seconds, so the sum covers between one window and one second more.
-    while (!this->seconds.empty() && number - this->seconds.front().number > toMillis(this->window) / 1000)
-        this->seconds.pop_front();
-    if (this->seconds.empty() || this->seconds.back().number != number)
-        this->seconds.push_back({ number, 0, 0 });
-    return this->seconds.back();
+    while (!this->parts.empty() && now >= this->parts.front().end + this->window)
+        this->parts.pop_front();
+    if (this->parts.empty() || now >= this->parts.back().end) {
+        auto length = (this->window.count() + partsPerWindow - 1) / partsPerWindow;
+        this->parts.push_back({ TimePoint(Duration((now.time_since_epoch().count() / length + 1) * length)), 0, 0 });
+    }
+    return this->parts.back();
 }
 
 }
