Start with bounds of any size, and without a figure

A process that refuses its settings never starts, and a deployment without a contract may leave out its bounds.

The ranges of the seven figures that the platform fills in now end where the arithmetic would (ten years; above zero for the hold and the window). A figure that is missing or a flag means the default, and a warning "settings_without_figure" names the keys at start and at each reload. Other words, negative and infinite figures are refused as before, with file, key and remedy; so are missing figures of settings that only operators write.

--- a/libs/runtime/src/Program.cpp
+++ b/libs/runtime/src/Program.cpp
@@ -27,6 +27,15 @@
     return text;
 }
 
+void reportMissingFigures(const settings::Settings& loaded, timeline::EventLog& events)
+{
+    if (loaded.keysWithoutFigure().empty())
+        return;
+    events.record(timeline::Severity::Warn, "settings_without_figure",
+        { { "keys", joined(loaded.keysWithoutFigure()) },
+            { "remedy", "write figures if the defaults, which are in force, do not fit" } });
+}
+
 //! State for reloading the settings file on SIGHUP.
 struct ReloadState {
     settings::Settings current;
@@ -45,6 +54,7 @@
                 { "remedy", "correct the file and send SIGHUP again; the previous settings stay in force" } });
         return G_SOURCE_CONTINUE;
     }
+    reportMissingFigures(valueOf(loaded), reloadState.events);
     auto changed = valueOf(loaded).changedKeys(reloadState.current);
     auto applied = reloadState.program.reload(valueOf(loaded));
     if (valueOf(loaded).text("log", "level") != reloadState.current.text("log", "level")) {
@@ -137,6 +147,7 @@
     const auto& host = loaded.text("host", "id");
     timeline::EventLog events(description.role + "@" + (host.empty() ? "local" : host), clock,
         static_cast<std::size_t>(loaded.number("log", "event_buffer")));
+    reportMissingFigures(loaded, events);
     auto engine = systemSeededEngine();
     ProgramContext context { loaded, clock, events, randomId(engine) };
     auto created = factory(context);
--- a/libs/settings/include/settings/Schema.h
+++ b/libs/settings/include/settings/Schema.h
@@ -19,6 +19,11 @@
     List, //!< elements separated by semicolons
 };
 
+enum class FigurePresence {
+    Required,
+    Optional,
+};
+
 //! Declaration of one setting. Durations are bounded in microseconds, sizes in bytes.
 struct SettingSpec {
     std::string_view section;
@@ -28,6 +33,8 @@
     double minimum;
     double maximum;
     std::string_view description;
+    //! Whether a deployment may give no figure, or a flag in its place. The default applies then.
+    FigurePresence presence = FigurePresence::Required;
 };
 
 //! All settings of all programs. The section `service` declares the keys of every `[service NAME]`.
@@ -39,6 +46,9 @@
 //! Whether the section is declared at all.
 bool isDeclaredSection(std::string_view section);
 
+//! Whether the value of an optional figure is empty, `true` or `false`, each with or without a unit.
+bool lacksFigure(const SettingSpec& spec, std::string_view value);
+
 //! Checks a value against its declaration; the message names type, unit and range.
 Result<Success> checkValue(const SettingSpec& spec, const std::string& value);
 
--- a/libs/settings/include/settings/Settings.h
+++ b/libs/settings/include/settings/Settings.h
@@ -33,6 +33,9 @@
     //! Names of the sections `[service NAME]`, in order of the file.
     const std::vector<std::string>& services() const { return this->serviceNames; }
 
+    //! Keys whose values hold no figure, as section.key; the default is in force.
+    const std::vector<std::string>& keysWithoutFigure() const { return this->missingFigures; }
+
     //! Keys whose values differ, as section.key; also those that only one of the two has.
     std::vector<std::string> changedKeys(const Settings& other) const;
 
@@ -44,6 +47,7 @@
 
     std::map<std::string, std::map<std::string, std::string, std::less<>>, std::less<>> values;
     std::vector<std::string> serviceNames;
+    std::vector<std::string> missingFigures;
 };
 
 }
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -1,5 +1,6 @@
 #include "settings/Schema.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -12,11 +13,14 @@
 constexpr double millisecond = 1e3;
 constexpr double second = 1e6;
 constexpr double minute = 60 * second;
+// Longer durations are mistakes, and sums of them would overflow.
+constexpr double tenYears = 10 * 365 * 24 * 60 * minute;
 constexpr double kibibyte = 1024;
 constexpr double mebibyte = 1024 * kibibyte;
 constexpr double unbounded = std::numeric_limits<double>::max();
 
 using enum SettingType;
+using enum FigurePresence;
 
 constexpr auto specs = std::to_array<SettingSpec>({
     { "host", "id", Text, "", 0, 0, "name of this host in the platform's host list" },
@@ -71,18 +75,18 @@
         "time without contact to platform and peers after which a host takes no new requests" },
     { "edge", "listen", Address, "127.0.0.1:8180", 0, 0, "address for callers' HTTP of sequoia-node" },
     { "edge", "ready_listen", Address, "127.0.0.1:8181", 0, 0, "address at which the platform asks for readiness" },
-    { "edge", "grace", Duration, "6s", second, 10 * minute, "time from SIGTERM until the process is killed" },
+    { "edge", "grace", Duration, "6s", 0, tenYears, "time from SIGTERM until the process is killed", Optional },
     { "metrics", "listen", Address, "127.0.0.1:9464", 0, 0, "address of the metrics page of sequoia-node" },
     { "peers", "listen", Address, "127.0.0.1:8190", 0, 0, "UDP address for messages between hosts" },
     { "store", "address", Address, "127.0.0.1:7100", 0, 0, "HTTP address of the platform's store" },
     { "store", "call_timeout", Duration, "1200ms", 10 * millisecond, minute, "time limit of one call to the store" },
-    { "node", "processor_share", Real, "1", 0.001, 1024, "processor cores that this host has" },
-    { "node", "link_megabits", Real, "100", 0.1, 1000000, "bandwidth of this host's network link in Mbit/s" },
-    { "grants", "longest_hold", Duration, "10s", 100 * millisecond, minute,
-        "longest time for which backend servers take a grant" },
-    { "repeats", "ratio", Real, "0.2", 0, 10, "repeated requests allowed per request" },
-    { "repeats", "slack", Real, "60", 0, 1000000, "repeated requests allowed besides, per window" },
-    { "repeats", "window", Duration, "10s", second, 10 * minute, "window in which repeated requests are counted" },
+    { "node", "processor_share", Real, "1", 1e-6, 1e6, "processor cores that this host has", Optional },
+    { "node", "link_megabits", Real, "100", 1e-3, 1e9, "bandwidth of this host's network link in Mbit/s", Optional },
+    { "grants", "longest_hold", Duration, "10s", 1, tenYears, "longest time for which backend servers take a grant",
+        Optional },
+    { "repeats", "ratio", Real, "0.2", 0, 1e6, "repeated requests allowed per request", Optional },
+    { "repeats", "slack", Real, "60", 0, 1e12, "repeated requests allowed besides, per window", Optional },
+    { "repeats", "window", Duration, "10s", 1, tenYears, "window in which repeated requests are counted", Optional },
     { "log", "level", Text, "info", 0, 0, "least severity of log lines: debug, info, warn or error" },
     { "log", "event_buffer", Number, "4096", 16, 1000000, "events kept in memory for the time line" },
     { "server_standin", "listen", Address, "127.0.0.1:8100", 0, 0, "HTTP address of the backend server stand-in" },
@@ -248,8 +252,22 @@
     return parsePlain(value, type == Number);
 }
 
+bool lacksFigure(const SettingSpec& spec, std::string_view value)
+{
+    if (spec.presence == Required)
+        return false;
+    auto isAbsent = [](std::string_view text) { return text.empty() || text == "true" || text == "false"; };
+    if (isAbsent(value))
+        return true;
+    return spec.type == Duration && std::any_of(durationUnits.begin(), durationUnits.end(), [&](const Unit& unit) {
+        return value.ends_with(unit.name) && isAbsent(value.substr(0, value.size() - unit.name.size()));
+    });
+}
+
 Result<Success> checkValue(const SettingSpec& spec, const std::string& value)
 {
+    if (lacksFigure(spec, value))
+        return Success {};
     switch (spec.type) {
     case Text:
     case List:
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -112,7 +112,21 @@
 {
     std::unique_ptr<gchar, decltype(&g_free)> value(
         g_key_file_get_string(file, section.c_str(), std::string(spec.key).c_str(), nullptr), &g_free);
-    return value ? std::string(value.get()) : std::string(spec.defaultValue);
+    return value && !lacksFigure(spec, value.get()) ? std::string(value.get()) : std::string(spec.defaultValue);
+}
+
+std::vector<std::string> findMissingFigures(GKeyFile* file)
+{
+    std::vector<std::string> keys;
+    for (const auto& spec : schema()) {
+        std::string section(spec.section);
+        std::string key(spec.key);
+        std::unique_ptr<gchar, decltype(&g_free)> value(
+            g_key_file_get_string(file, section.c_str(), key.c_str(), nullptr), &g_free);
+        if (value && lacksFigure(spec, value.get()))
+            keys.push_back(section.append(".").append(key));
+    }
+    return keys;
 }
 
 //! Relations between settings that a single range cannot express.
@@ -187,6 +201,7 @@
         for (const auto& section : sections)
             settings.values[section][std::string(spec.key)] = valueOrDefault(file.get(), section, spec);
     }
+    settings.missingFigures = findMissingFigures(file.get());
     checkRelations(settings, mistakes);
     if (!mistakes.empty())
         return Error { ErrorKind::InvalidSettings, mistakes.text(), "" };
