Keep one owner a key while hosts have different longest holds

hold_max_ms is now taken in any size, at first start as at a reload, and hosts get a changed file one after the other. The lease manager was not ready for that: a lease of 1 s would have been renewed each second, so that it lapsed between two renewals, and a coordinator with a short hold waited only for its own length of lease before it gave the keys of an earlier coordinator's owner to another server: two owners (rule OWNER).

The intervals of orders are shortened with the lease. Leases of an earlier coordinator are taken to last as long as any coordinator's may (4 s), and a lease that has been granted keeps its length when the settings change: each order remembers its own. With the usual hold of 10 s all figures are as before.

--- a/libs/keyspace/include/keyspace/KeyLeaseManager.h
+++ b/libs/keyspace/include/keyspace/KeyLeaseManager.h
@@ -54,6 +54,11 @@
     //! Longest time that a grant is expected to be in flight.
     Duration maxDeliveryDelay = std::chrono::milliseconds(400);
     Duration orderRetryInterval = std::chrono::milliseconds(250);
+    //! Longest lease that any coordinator grants. Hosts may have different settings for a while.
+    Duration maxLeaseDuration = std::chrono::seconds(4);
+
+    //! The defaults, with leases and intervals shortened to servers that take leases of at most this length.
+    static KeyLeaseOptions limitedTo(Duration longestLease);
 };
 
 //! A change of owner, for the event log.
@@ -85,6 +90,8 @@
 
     void setServers(const fleet::ServerMap& servers);
     void setCapacities(const ServerCapacities& capacities) { this->capacities = capacities; }
+    //! Applies to the orders that are sent from now on.
+    void setOptions(const KeyLeaseOptions& changed) { this->options = changed; }
 
     TickOutputs tick(const KeyLoad& load, TimePoint now);
     void confirmWrite(std::uint64_t sequence, TimePoint now);
@@ -118,6 +125,7 @@
         LeaseOrderId outstandingOrder = 0;
         LeaseOrderType outstandingOrderType = LeaseOrderType::Grant;
         TimePoint orderSentAt {};
+        Duration orderLeaseDuration {};
         unsigned unansweredOrders = 0; //!< in a row
         std::string handover;
         TimePoint movedAt {};
@@ -146,8 +154,9 @@
     void handleGrantResponse(std::size_t index, const LeaseOrderResponse& response, TimePoint now);
     void setOutstandingOrder(RangeState& state, const LeaseOrder& order, TimePoint now);
     void handleReleaseResponse(std::size_t index, const LeaseOrderResponse& response);
-    Duration longestLeaseDuration() const;
-    TimePoint latestLeaseEnd(TimePoint sent) const;
+    //! Time that a lease may last by the server's clock.
+    Duration onSlowClock(Duration lease) const;
+    TimePoint latestLeaseEnd(TimePoint sent, Duration lease) const;
     void extendLease(RangeState& state, LeaseOrderResult result, TimePoint now) const;
 
     KeyPlan currentPlan;
--- a/libs/keyspace/src/KeyLeaseManager.cpp
+++ b/libs/keyspace/src/KeyLeaseManager.cpp
@@ -20,9 +20,28 @@
 constexpr Duration unresponsiveCooldown = std::chrono::seconds(5);
 // Longer than the time-outs of the senders of orders; covers a response that is never reported.
 constexpr Duration orderTimeout = std::chrono::seconds(4);
+// A lease is renewed, and a failed order repeated, at least this often within it.
+constexpr int renewalsPerLease = 4;
+constexpr int retriesPerLease = 8;
+// Bounds the rate of orders with leases that are too short to be kept.
+constexpr Duration shortestOrderInterval = std::chrono::milliseconds(50);
 
 }
 
+KeyLeaseOptions KeyLeaseOptions::limitedTo(Duration longestLease)
+{
+    KeyLeaseOptions options;
+    // Orders state leases in whole milliseconds.
+    longestLease = std::chrono::floor<std::chrono::milliseconds>(longestLease);
+    options.leaseDuration = std::min(options.leaseDuration, longestLease);
+    auto interval = [&](Duration usual, int count) {
+        return std::min(usual, std::max(shortestOrderInterval, options.leaseDuration / count));
+    };
+    options.renewInterval = interval(options.renewInterval, renewalsPerLease);
+    options.orderRetryInterval = interval(options.orderRetryInterval, retriesPerLease);
+    return options;
+}
+
 KeyLeaseManager::KeyLeaseManager(KeyPlan stored, std::uint64_t term, KeyLeaseOptions leaseOptions, TimePoint now)
     : currentPlan(std::move(stored))
     , options(leaseOptions)
@@ -31,7 +50,8 @@
     this->earlierOrdersArrivedBy = now + leaseOptions.maxDeliveryDelay;
     RangeState state;
     // An earlier coordinator may have sent a grant just before this one started.
-    state.ownerLeaseEnd = this->latestLeaseEnd(now);
+    state.ownerLeaseEnd
+        = this->latestLeaseEnd(now, std::max(leaseOptions.leaseDuration, leaseOptions.maxLeaseDuration));
     state.successorLeaseEnd = state.ownerLeaseEnd;
     this->states.assign(this->currentPlan.ranges.size(), state);
     for (std::size_t i = 0; i < this->states.size(); ++i) {
@@ -66,15 +86,15 @@
     return found != this->servers.end() && found->second.instance.startMillis > instance.startMillis;
 }
 
-Duration KeyLeaseManager::longestLeaseDuration() const
+Duration KeyLeaseManager::onSlowClock(Duration lease) const
 {
-    double longest = static_cast<double>(this->options.leaseDuration.count()) * (1 + this->options.clockRateBound);
+    double longest = static_cast<double>(lease.count()) * (1 + this->options.clockRateBound);
     return Duration(static_cast<std::int64_t>(longest));
 }
 
-TimePoint KeyLeaseManager::latestLeaseEnd(TimePoint sent) const
+TimePoint KeyLeaseManager::latestLeaseEnd(TimePoint sent, Duration lease) const
 {
-    return sent + this->longestLeaseDuration() + this->options.maxDeliveryDelay;
+    return sent + this->onSlowClock(lease) + this->options.maxDeliveryDelay;
 }
 
 KeyLeaseManager::TickOutputs KeyLeaseManager::tick(const KeyLoad& load, TimePoint now)
@@ -345,7 +365,8 @@
     order.renewal = true;
     this->setOutstandingOrder(state, order, now);
     state.leaseEndBeforeOrder = state.ownerLeaseEnd;
-    state.ownerLeaseEnd = this->latestLeaseEnd(now);
+    // The lease before may be longer, and lasts if this order is lost.
+    state.ownerLeaseEnd = std::max(state.ownerLeaseEnd, this->latestLeaseEnd(now, order.leaseDuration));
     state.nextOrderAt = now + this->options.renewInterval;
     outputs.orders.push_back(std::move(order));
 }
@@ -371,7 +392,7 @@
     order.handover = state.handover;
     this->setOutstandingOrder(state, order, now);
     state.leaseEndBeforeOrder = state.successorLeaseEnd;
-    state.successorLeaseEnd = this->latestLeaseEnd(now);
+    state.successorLeaseEnd = std::max(state.successorLeaseEnd, this->latestLeaseEnd(now, order.leaseDuration));
     state.nextOrderAt = now + this->options.orderRetryInterval;
     outputs.orders.push_back(std::move(order));
 }
@@ -403,6 +424,7 @@
     state.outstandingOrder = order.id;
     state.outstandingOrderType = order.type;
     state.orderSentAt = now;
+    state.orderLeaseDuration = order.leaseDuration;
 }
 
 void KeyLeaseManager::handleResponse(LeaseOrderId order, const LeaseOrderResponse& response, TimePoint now)
@@ -436,7 +458,7 @@
     if (result != LeaseOrderResult::Accepted && result != LeaseOrderResult::Unknown)
         return;
     auto& leaseEnd = state.stage == Stage::Granting ? state.successorLeaseEnd : state.ownerLeaseEnd;
-    leaseEnd = std::max(leaseEnd, now + this->longestLeaseDuration());
+    leaseEnd = std::max(leaseEnd, now + this->onSlowClock(state.orderLeaseDuration));
 }
 
 void KeyLeaseManager::handleReleaseResponse(std::size_t index, const LeaseOrderResponse& response)
@@ -467,7 +489,7 @@
         return;
     }
     state.unansweredOrders = 0;
-    auto confirmedEnd = state.orderSentAt + this->options.leaseDuration;
+    auto confirmedEnd = state.orderSentAt + state.orderLeaseDuration;
     if (state.stage == Stage::Granting && range.successor) {
         if (range.owner != range.successor->server)
             state.movedAt = now;
--- a/libs/keyspace/tests/KeyLeaseManagerTest.cpp
+++ b/libs/keyspace/tests/KeyLeaseManagerTest.cpp
@@ -132,6 +132,46 @@
     runSeeds({ 0, 0, 0.2, true, true, false, true });
 }
 
+// Guards against two owners when hosts get new settings one after the other, so that coordinators grant leases of
+// different lengths, also within a tenure.
+TEST_CASE("no key has two owners while the length of leases changes")
+{
+    runSeeds({ 0.05, 0.05, 0.3, true, true, true, true, true });
+}
+
+// Guards against leases that expire between two renewals, or longer ones than servers take.
+TEST_CASE("short leases are renewed in time")
+{
+    for (std::int64_t millis : { 300, 1000, 1500, 2500, 4000, 10'000 }) {
+        CAPTURE(millis);
+        auto options = KeyLeaseOptions::limitedTo(std::chrono::microseconds(millis * 1000 + 500));
+        CHECK(options.leaseDuration == std::min<Duration>(fromMillis(millis), std::chrono::seconds(4)));
+        TimePoint now(std::chrono::seconds(1000));
+        KeyLeaseManager manager(KeyPlan::unowned("s"), 1, options, now);
+        manager.setServers(servers({ "a" }));
+        manager.setCapacities(capacitiesOf(servers({ "a" })));
+        KeyLoad load;
+        TimePoint leaseEnd = TimePoint::max();
+        std::size_t orders = 0;
+        for (int i = 0; i < 1000; ++i) {
+            now += std::chrono::milliseconds(10);
+            auto outputs = manager.tick(load, now);
+            if (outputs.planToWrite)
+                manager.confirmWrite(outputs.planToWrite->sequence, now);
+            for (const auto& order : outputs.orders) {
+                CHECK(now < leaseEnd);
+                leaseEnd = now + order.leaseDuration;
+                manager.handleResponse(order.id, { LeaseOrderResult::Accepted, {} }, now);
+                ++orders;
+            }
+        }
+        CHECK(manager.ownerOf(7, now).ownership == balance::Ownership::Owned);
+        CHECK(now < leaseEnd);
+        CHECK(orders >= 9);
+        CHECK(orders <= 10'000 / 50);
+    }
+}
+
 TEST_CASE("no key has two owners under all faults at once")
 {
     runSeeds({ 0.05, 0.05, 0.3, true, true, true, true });
--- a/libs/keyspace/tests/LeaseManagerSimulation.cpp
+++ b/libs/keyspace/tests/LeaseManagerSimulation.cpp
@@ -85,6 +85,14 @@
             = this->now + Duration(std::uniform_int_distribution<std::int64_t>(0, maxListLag.count())(this->random));
 }
 
+KeyLeaseOptions LeaseManagerSimulation::drawOptions()
+{
+    if (!this->faults.leasesChange)
+        return {};
+    auto longest = std::uniform_int_distribution<std::int64_t>(1000, 6000)(this->random);
+    return KeyLeaseOptions::limitedTo(fromMillis(longest));
+}
+
 void LeaseManagerSimulation::publishServers()
 {
     this->publishAt.reset();
@@ -154,11 +162,13 @@
     if (!this->manager || replace) {
         this->pendingWrite.reset();
         auto plan = this->storedPlan.value_or(KeyPlan::unowned("s"));
-        this->manager = std::make_unique<KeyLeaseManager>(plan, ++this->managerNumber, KeyLeaseOptions {}, this->now);
+        this->manager = std::make_unique<KeyLeaseManager>(plan, ++this->managerNumber, this->drawOptions(), this->now);
         if (this->published.empty())
             this->publishServers();
         this->manager->setServers(this->published);
     }
+    if (this->faults.leasesChange && this->chance(0.002))
+        this->manager->setOptions(this->drawOptions());
     if (this->chance(0.2))
         this->load.recordRequest(static_cast<fleet::Key>(std::uniform_int_distribution<int>(0, 3000)(this->random)));
 }
--- a/libs/keyspace/tests/LeaseManagerSimulation.h
+++ b/libs/keyspace/tests/LeaseManagerSimulation.h
@@ -51,6 +51,7 @@
         bool serversDrain = false;
         bool serversDelisted = false; //!< servers leave the list while they still run
         bool coordinatorsReplaced = false;
+        bool leasesChange = false; //!< coordinators grant leases of different lengths, and change them
     };
 
     LeaseManagerSimulation(std::uint64_t seed, Faults faults);
@@ -77,6 +78,7 @@
     void tickManager();
     std::string findViolation() const;
     void schedulePublish();
+    KeyLeaseOptions drawOptions();
     void publishServers();
 
     RandomEngine random;
