Apply all changed bounds without a restart, also when no signal comes

The platform may change the settings file with SIGHUP or without a signal. Without one, sequoia-node never looked at the file, so that a changed bound was in force only after the next start; and a reload applied just the grace and the retry budget. With a smaller hold_max_ms the coordinator would have gone on asking for leases that servers refuse.

The file is read each second and applied when its text has changed. A reload now also applies the longest hold, the processor share, the link speed and the store's address; the other keys are listed as at_next_start, as before.

Test: processes_node_bounds fills deploy/node.ini with each form and size of its seven figures, checks that nonsense ends with status 3 and a remedy, and plays a change without a signal, one with SIGHUP, a refused one, a restart and a kill.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -46,6 +46,7 @@
     //! Bandwidth of this host's link, of which the state sent to hosts takes a part.
     void setLinkSpeed(double megabitsPerSecond);
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
+    void setKeyLeaseOptions(const keyspace::KeyLeaseOptions& options);
     void setServers(const fleet::ServerMap& servers);
 
     //! Processes a datagram of a host.
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -64,6 +64,13 @@
         = static_cast<std::size_t>(megabitsPerSecond * 1e6 / 8 * stateShareOfLink * secondsPerRound);
 }
 
+void Coordinator::setKeyLeaseOptions(const keyspace::KeyLeaseOptions& options)
+{
+    this->keyLeaseOptions = options;
+    for (auto& [service, entry] : this->keyedServices)
+        entry.leaseManager->setOptions(options);
+}
+
 void Coordinator::start(std::vector<keyspace::KeyPlan> stored)
 {
     for (auto& plan : stored)
--- a/libs/runtime/src/Program.cpp
+++ b/libs/runtime/src/Program.cpp
@@ -1,14 +1,18 @@
 #include "runtime/Program.h"
 
 #include "core/Random.h"
+#include "runtime/Task.h"
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <glib-unix.h>
 #include <glib.h>
 #include <iostream>
+#include <memory>
 #include <optional>
+#include <sstream>
 
 DEFINE_string(settings, "", "path of the INI settings file");
 DEFINE_string(set, "", "overrides of settings, section.key=value, separated by commas");
@@ -19,6 +23,25 @@
 
 namespace {
 
+// The settings file may be replaced without a signal.
+constexpr Duration settingsPollInterval = std::chrono::seconds(1);
+
+std::optional<std::string> readSettingsFile()
+{
+    std::ifstream stream(FLAGS_settings);
+    if (!stream)
+        return std::nullopt;
+    std::stringstream text;
+    text << stream.rdbuf();
+    return text.str();
+}
+
+Result<settings::Settings> loadSettings()
+{
+    return FLAGS_settings.empty() ? settings::Settings::parse("", "(defaults)", FLAGS_set)
+                                  : settings::Settings::load(FLAGS_settings, FLAGS_set);
+}
+
 std::string joined(const std::vector<std::string>& keys)
 {
     std::string text;
@@ -41,18 +64,18 @@
     settings::Settings current;
     Program& program;
     timeline::EventLog& events;
+    std::optional<std::string> fileText; //!< when it was last read; nothing if it could not be
 };
 
-gboolean onReloadSignal(gpointer data)
+void reload(ReloadState& reloadState)
 {
-    auto& reloadState = **static_cast<std::optional<ReloadState>*>(data);
-    auto loaded = FLAGS_settings.empty() ? settings::Settings::parse("", "(defaults)", FLAGS_set)
-                                         : settings::Settings::load(FLAGS_settings, FLAGS_set);
+    reloadState.fileText = readSettingsFile();
+    auto loaded = loadSettings();
     if (!succeeded(loaded)) {
         reloadState.events.record(timeline::Severity::Error, "reload_refused",
             { { "reason", errorOf(loaded).message },
-                { "remedy", "correct the file and send SIGHUP again; the previous settings stay in force" } });
-        return G_SOURCE_CONTINUE;
+                { "remedy", "correct the file; the previous settings stay in force" } });
+        return;
     }
     reportMissingFigures(valueOf(loaded), reloadState.events);
     auto changed = valueOf(loaded).changedKeys(reloadState.current);
@@ -71,6 +94,11 @@
     reloadState.events.record(timeline::Severity::Info, "reloaded",
         { { "in_force", joined(applied) }, { "at_next_start", joined(atRestart) } });
     reloadState.current = std::move(valueOf(loaded));
+}
+
+gboolean onReloadSignal(gpointer data)
+{
+    reload(**static_cast<std::optional<ReloadState>*>(data));
     return G_SOURCE_CONTINUE;
 }
 
@@ -123,22 +151,33 @@
     SignalLoop& operator=(const SignalLoop&) = delete;
 
     //! Runs until the program has stopped.
-    void run(Program& program, const settings::Settings& loaded, timeline::EventLog& events)
+    void run(Program& program, const settings::Settings& loaded, std::optional<std::string> fileText,
+        timeline::EventLog& events)
     {
         this->request = { this->loop, &program, &events };
-        this->reloadState.emplace(ReloadState { loaded, program, events });
+        this->reloadState.emplace(ReloadState { loaded, program, events, std::move(fileText) });
+        std::unique_ptr<Timer> poll;
+        if (!FLAGS_settings.empty())
+            poll = std::make_unique<Timer>(
+                settingsPollInterval, Timer::Repeat::Always, [this] { this->reloadChangedFile(); });
         g_main_loop_run(this->loop);
     }
 
 private:
+    void reloadChangedFile()
+    {
+        if (readSettingsFile() != this->reloadState->fileText)
+            reload(*this->reloadState);
+    }
+
     GMainLoop* loop;
     StopRequest request {};
     std::optional<ReloadState> reloadState;
     std::array<guint, 3> sources {};
 };
 
-int runUntilStopped(
-    const settings::Settings& loaded, const ProgramDescription& description, const ProgramFactory& factory)
+int runUntilStopped(const settings::Settings& loaded, std::optional<std::string> fileText,
+    const ProgramDescription& description, const ProgramFactory& factory)
 {
     // Created first, so that a stop signal during the start also leads to a graceful shutdown.
     SignalLoop signals;
@@ -157,7 +196,7 @@
         return toInt(ExitCode::Failure);
     }
     events.record(timeline::Severity::Info, "started", { { "incarnation", context.incarnation } });
-    signals.run(*valueOf(created), loaded, events);
+    signals.run(*valueOf(created), loaded, std::move(fileText), events);
     valueOf(created).reset();
     events.record(timeline::Severity::Info, "stopped", {});
     return toInt(ExitCode::Success);
@@ -174,8 +213,9 @@
         std::cerr << description.name << ": unexpected argument \"" << argv[1] << "\"; see --help\n";
         return toInt(ExitCode::InvalidArguments);
     }
-    auto loaded = FLAGS_settings.empty() ? settings::Settings::parse("", "(defaults)", FLAGS_set)
-                                         : settings::Settings::load(FLAGS_settings, FLAGS_set);
+    // Read before the settings are loaded, so that a change between the two is found by the first poll.
+    auto fileText = readSettingsFile();
+    auto loaded = loadSettings();
     if (!succeeded(loaded)) {
         std::cerr << errorOf(loaded).toString() << '\n';
         return toInt(ExitCode::InvalidSettings);
@@ -186,7 +226,7 @@
         std::cout << "settings are valid\n";
     if (FLAGS_check || FLAGS_print_settings)
         return toInt(ExitCode::Success);
-    return runUntilStopped(valueOf(loaded), description, factory);
+    return runUntilStopped(valueOf(loaded), std::move(fileText), description, factory);
 }
 
 }
--- a/libs/tenure/include/tenure/CoordinatorElection.h
+++ b/libs/tenure/include/tenure/CoordinatorElection.h
@@ -123,6 +123,7 @@
         std::optional<std::int64_t> storeMillis, TimePoint now);
 
     std::vector<ElectionOutput> beaconReceived(const BeaconInfo& beacon, TimePoint now);
+    void setProcessorShare(double share) { this->options.processorShare = share; }
     //! Sets the number of hosts that report to this coordinator, itself included.
     void setReportingHosts(std::size_t count) { this->reportingHosts = count; }
     //! Records that another host has reported to this coordinator.
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -103,9 +103,16 @@
 void CoordinationTask::reload(const settings::Settings& settings)
 {
     this->schedulerOptions = makeSchedulerOptions(settings);
+    this->keyLeaseOptions = makeKeyLeaseOptions(settings);
+    this->processorShare = settings.real("node", "processor_share");
+    this->linkMegabits = settings.real("node", "link_megabits");
+    this->election.setProcessorShare(this->processorShare);
     this->placement->setRetryOptions(this->schedulerOptions);
-    if (this->coordinator)
-        this->coordinator->setRetryOptions(this->schedulerOptions);
+    if (!this->coordinator)
+        return;
+    this->coordinator->setRetryOptions(this->schedulerOptions);
+    this->coordinator->setKeyLeaseOptions(this->keyLeaseOptions);
+    this->coordinator->setLinkSpeed(this->linkMegabits);
 }
 
 bool CoordinationTask::isReady() const
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -34,7 +34,7 @@
     //! `text` is the configuration as stored.
     void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration, const std::string& text);
     void setServers(const fleet::ServerMap& servers);
-    //! Applies a changed retry budget.
+    //! Applies changed figures: retry budget, longest lease, processor share and link speed.
     void reload(const settings::Settings& settings);
     edge::Placer& placer() { return *this->placement; }
     //! Whether a coordinator has been found, so that jobs of keyed services can be placed.
--- a/programs/node/src/LibraryOptions.cpp
+++ b/programs/node/src/LibraryOptions.cpp
@@ -1,7 +1,5 @@
 #include "LibraryOptions.h"
 
-#include <algorithm>
-
 namespace sequoia::node {
 
 balance::SchedulerOptions makeSchedulerOptions(const settings::Settings& settings)
@@ -15,9 +13,7 @@
 
 keyspace::KeyLeaseOptions makeKeyLeaseOptions(const settings::Settings& settings)
 {
-    keyspace::KeyLeaseOptions options;
-    options.leaseDuration = std::min(options.leaseDuration, settings.duration("grants", "longest_hold"));
-    return options;
+    return keyspace::KeyLeaseOptions::limitedTo(settings.duration("grants", "longest_hold"));
 }
 
 tenure::ElectionOptions makeElectionOptions(const settings::Settings& settings)
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -193,8 +193,10 @@
 std::vector<std::string> NodeService::reload(const settings::Settings& settings)
 {
     this->terminationGracePeriod = settings.duration("edge", "grace");
+    this->store.setAddress(settings.text("store", "address"));
     this->coordination->reload(settings);
-    return { "edge.grace", "repeats.ratio", "repeats.slack", "repeats.window" };
+    return { "edge.grace", "store.address", "node.processor_share", "node.link_megabits", "grants.longest_hold",
+        "repeats.ratio", "repeats.slack", "repeats.window" };
 }
 
 void NodeService::stop(std::function<void()> finished)
