--- a/libs/client/src/ClientConnection.cpp
+++ b/libs/client/src/ClientConnection.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t maxSkippedBytes = std::size_t { 1024 } * 1024;
 // A response head that has begun arrives within this time.
 constexpr Duration headTimeout = std::chrono::seconds(2);
+// Longer idle times of servers are cut off; no connection is kept that long, and sums of them would overflow.
+constexpr std::chrono::seconds maxKeepAlive = std::chrono::hours(1);
 
 Duration keepAliveOf(const http::Headers& headers)
 {
@@ -25,6 +27,8 @@
     std::int64_t seconds = 0;
     const char* begin = value->data() + at + std::string_view("timeout=").size();
     auto status = std::from_chars(begin, value->data() + value->size(), seconds).ec;
+    if (status == std::errc::result_out_of_range || seconds > maxKeepAlive.count())
+        return maxKeepAlive;
     return status == std::errc() && seconds > 0 ? Duration(std::chrono::seconds(seconds)) : Duration {};
 }
 
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <xxhash.h>
 
 namespace sequoia::edge {
@@ -131,8 +132,10 @@
 {
     auto deadline = defaultDeadline;
     if (const auto* text = this->head.headers.find(this->context.names.deadline)) {
-        if (auto millis = parseNumber<std::int64_t>(*text))
-            deadline = std::clamp(fromMillis(*millis), Duration::zero(), maxDeadline);
+        if (auto millis = parseNumber<double>(*text); millis && !std::isnan(*millis)) {
+            auto longest = static_cast<double>(toMillis(maxDeadline));
+            deadline = fromMillis(static_cast<std::int64_t>(std::clamp(*millis, 0.0, longest)));
+        }
     }
     auto& longest = this->context.longestDeadline[matched.name];
     longest = std::max(longest, deadline);
--- a/libs/edge/tests/RequestTest.cpp
+++ b/libs/edge/tests/RequestTest.cpp
@@ -228,6 +228,42 @@
     CHECK(between(jobs[1]) - between(jobs[0]) == std::chrono::milliseconds(0));
 }
 
+// Guards against a caller's time that is a fraction and is taken for the default, so that servers get more than is
+// left.
+TEST_CASE("the caller's time may be a fraction, and any number is bounded")
+{
+    EdgeFixture edge({});
+    edge.sendRequest(requestText("GET", "/safe/x", "r1", "Test-Deadline-Ms: 1000.5\r\n"));
+    edge.sendRequest(requestText("GET", "/safe/x", "r2", "Test-Deadline-Ms: 1000\r\n"));
+    edge.sendRequest(requestText("GET", "/safe/x", "r3", "Test-Deadline-Ms: 1e300\r\n"));
+    edge.sendRequest(requestText("GET", "/safe/x", "r4", "Test-Deadline-Ms: 9223372036854775807\r\n"));
+    auto jobs = edge.placer.submitted();
+    REQUIRE(jobs.size() == 4);
+    auto between = [](const balance::Job& job) { return job.deadline - job.target; };
+    CHECK(between(jobs[0]) == between(jobs[1]));
+    CHECK(between(jobs[2]) == between(jobs[3]));
+}
+
+// Guards against an overflow with the idle time that a server states.
+TEST_CASE("a server may state any idle time, and its connection is used again")
+{
+    auto respond = [](Connection& connection) {
+        for (const auto* idle : { "9223372036854775807", "99999999999999999999", "1e9", "5" }) {
+            auto request = connection.readMessage();
+            connection.write(std::string("HTTP/1.1 200 OK\r\nSequoia-Request-Id: ")
+                + headerIn(request, "Sequoia-Request-Id") + "\r\nTest-Signature: s\r\nKeep-Alive: timeout=" + idle
+                + "\r\nContent-Length: 2\r\n\r\nok");
+        }
+        connection.readToEnd();
+    };
+    FakeServer server({ respond });
+    EdgeFixture edge({ { "server-1", server.address() }, { "server-1", server.address() },
+        { "server-1", server.address() }, { "server-1", server.address() } });
+    for (int i = 0; i < 4; ++i)
+        CHECK(edge.sendRequest(requestText("GET", "/safe/x", "r" + std::to_string(i), "")).ends_with("ok"));
+    CHECK(server.connections() == 1);
+}
+
 // A backend server never responded, and the process exit closed the caller's connection without a response (seen in
 // hinagiku-gw-grown scale-1).
 TEST_CASE("when the process ends, a request whose server never responds gets a 504")
