Take no rejection without an id for the answer on a used connection

A rejection without an id proves something only on a connection that has served nothing before. On a used one a request that must not be repeated now counts as possibly executed (502), and from then on such requests to that server take new connections, so that its rejections can be believed. Idempotent requests are sent again as before.

--- a/libs/client/include/client/ClientConnection.h
+++ b/libs/client/include/client/ClientConnection.h
@@ -61,6 +61,8 @@
     //! Tag of the last request. A second copy of its response cannot be told from the response to a request with the
     //! same tag.
     const std::string& lastTag() const { return this->tag; }
+    //! Whether an earlier request was sent on this connection, of which more bytes may still arrive.
+    bool isReused() const { return this->startedRequests > 1; }
     //! Sends more bytes of the request.
     void write(std::string_view bytes);
     //! The request is written completely. After a response that arrives earlier, the connection is not reused.
@@ -110,6 +112,7 @@
     std::size_t skippedBytes = 0;
     std::optional<net::Reactor::TimerId> headTimer; //!< runs while a head is incomplete
     std::string tag;
+    std::uint64_t startedRequests = 0;
     bool streaming = false; //!< part of the response has been forwarded
     Duration keepAlive {};
     TimePoint idleStart {};
--- a/libs/client/include/client/ConnectionPool.h
+++ b/libs/client/include/client/ConnectionPool.h
@@ -9,6 +9,9 @@
 
 namespace sequoia::client {
 
+//! As `maxIdle` of ConnectionPool::acquire(): always a new connection.
+constexpr Duration noReuse(-1);
+
 //! Pool of reusable connections to several peers.
 class ConnectionPool final : private ConnectionOwner {
 public:
--- a/libs/client/src/ClientConnection.cpp
+++ b/libs/client/src/ClientConnection.cpp
@@ -53,6 +53,7 @@
 {
     assert(!this->observer);
     this->tag = requestTag;
+    ++this->startedRequests;
     this->observer = &receiver;
     this->parser = std::make_unique<http::MessageParser>(http::MessageType::Response, maxHeaderBytes);
     if (noResponseBody)
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace sequoia::edge {
@@ -38,6 +39,8 @@
     std::size_t activeAttempts = 0; //!< requests that are at a backend server
     //! Longest deadline seen on each route; a retry sends a shorter one, which shows how long its caller has waited.
     std::map<std::string, Duration> longestDeadline;
+    //! Servers, as named in the pool, that have rejected requests without repeating their ids.
+    std::set<std::string> serversWithoutIds;
 };
 
 //! HTTP server that forwards the requests of callers to backend servers.
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -224,9 +224,13 @@
         this->retryOrRespond(503, errorOf(address).message);
         return;
     }
+    this->peer = target.server + "@" + target.address;
+    // Rejections of some servers can be told from late bytes of an earlier response on a new connection only.
+    bool needsNewConnection
+        = this->route->kind != fleet::RequestKind::Idempotent && this->context.serversWithoutIds.contains(this->peer);
     // A second copy of the response to an earlier attempt of this request would have the same id.
     this->connection = &this->context.backends.acquire(
-        target.server + "@" + target.address, valueOf(address), maxBackendIdle, this->requestId);
+        this->peer, valueOf(address), needsNewConnection ? client::noReuse : maxBackendIdle, this->requestId);
     this->bodySent = 0;
     this->bodyFinished = false;
     ++this->context.counters.attempts;
@@ -311,8 +315,14 @@
     const auto* id = response.headers.find(names.requestId);
     if (id && *id != this->requestId)
         return client::ResponseMatch::Skip;
-    if (this->isNotExecuted(response))
-        return client::ResponseMatch::Accept;
+    if (this->isNotExecuted(response)) {
+        if (id)
+            return client::ResponseMatch::Accept;
+        this->context.serversWithoutIds.insert(this->peer);
+        // It may be a late copy of an earlier rejection, while the server executes this request.
+        bool ambiguous = this->connection->isReused() && this->route->kind != fleet::RequestKind::Idempotent;
+        return ambiguous ? client::ResponseMatch::Reject : client::ResponseMatch::Accept;
+    }
     bool isSigned = response.headers.find(names.signature) != nullptr;
     if (!id || (!isSigned && response.status < 300) || response.headers.find("Content-Encoding") != nullptr)
         return client::ResponseMatch::Reject;
--- a/libs/edge/src/CallerRequest.h
+++ b/libs/edge/src/CallerRequest.h
@@ -97,6 +97,7 @@
     bool mayHaveRun = false;
     std::vector<std::string> tried;
     std::string server; //!< server of the last attempt
+    std::string peer; //!< the server and its address, as named in the pool
     std::string decidedBy; //!< coordinator term or host that decided last, for the log
     client::ClientConnection* connection = nullptr;
     bool sent = false;
--- a/libs/edge/tests/ResponseTest.cpp
+++ b/libs/edge/tests/ResponseTest.cpp
@@ -126,6 +126,36 @@
     CHECK(response.ends_with("right"));
 }
 
+// Guards against executing a request twice, or a false 503, after a late second copy of a rejection without an id
+// (review/1).
+TEST_CASE("on a used connection, a rejection without an id does not show that a request was not executed")
+{
+    const std::string rejection = "HTTP/1.1 503 Full\r\nTest-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    FakeServer server({ [&](Connection& connection) {
+                           connection.write(signedResponse(connection.readMessage(), "one"));
+                           auto head = connection.readMessage();
+                           connection.write(rejection + signedResponse(head, "two"));
+                           connection.readToEnd();
+                       },
+        // Nothing precedes a rejection on a new connection.
+        [&](Connection& connection) {
+            connection.readMessage();
+            connection.write(rejection);
+            connection.readToEnd();
+        },
+        [&](Connection& connection) {
+            connection.write(signedResponse(connection.readMessage(), "four"));
+            connection.readToEnd();
+        } });
+    EdgeFixture edge({ { "server-1", server.address() }, { "server-1", server.address() },
+        { "server-1", server.address() }, { "server-1", server.address() } });
+    CHECK(edge.sendRequest(requestText("POST", "/unsafe/x", "r1", "", "hello")).ends_with("one"));
+    CHECK(edge.sendRequest(requestText("POST", "/unsafe/x", "r2", "", "hello")).starts_with("HTTP/1.1 502 "));
+    CHECK(edge.placer.submitted().size() == 2);
+    CHECK(edge.sendRequest(requestText("POST", "/unsafe/x", "r3", "", "hello")).ends_with("four"));
+    CHECK(server.connections() == 3);
+}
+
 // Guards against bytes after a response being parsed as the response to the next request.
 TEST_CASE("a backend connection with bytes after the response is not reused")
 {
