Send releases on new connections

Answers to orders need not repeat the tag, so on a used connection a release cannot tell its own answer. Releases are sent only when keys move, and now take a new connection each. Renewals, hundreds a second, keep theirs: a copy taken for the answer to a grant only makes requests come back with 421, as the hold is counted from the sending.

--- a/libs/client/include/client/HttpClient.h
+++ b/libs/client/include/client/HttpClient.h
@@ -20,6 +20,7 @@
     std::string tagHeader {};
     std::string tag {};
     std::optional<std::size_t> maxResponseBytes {}; //!< a longer response fails the request
+    bool onNewConnection = false; //!< no late bytes of an earlier response can be taken for this one's
 };
 
 struct HttpResponse {
--- a/libs/client/src/HttpClient.cpp
+++ b/libs/client/src/HttpClient.cpp
@@ -8,6 +8,8 @@
 
 // Response bodies are buffered up to this size; a larger response fails the request.
 constexpr std::size_t defaultMaxResponseBytes = std::size_t { 8 } * 1024 * 1024;
+// The pool's own idle timeout is shorter.
+constexpr Duration maxIdle = std::chrono::minutes(1);
 
 std::string requestText(const std::string& address, const HttpRequest& request)
 {
@@ -126,7 +128,7 @@
     auto& pending
         = *this->pendingCalls.emplace_back(std::make_unique<Pending>(*this, address, request, std::move(callback)));
     pending.timer = this->reactor.scheduleAfter(timeout, [&pending] { pending.expire(); });
-    pending.connection = &this->pool.acquire(address, valueOf(parsed), std::chrono::minutes(1));
+    pending.connection = &this->pool.acquire(address, valueOf(parsed), request.onNewConnection ? noReuse : maxIdle);
     pending.connection->startRequest(requestText(address, request), request.method == "HEAD",
         request.maxResponseBytes.value_or(defaultMaxResponseBytes), pending, request.tag);
     if (pending.connection)
