Fault soak: change the settings of hosts in the forms that deployments use

Each reload fault now writes new bounds for all hosts, in whole numbers, fractions, flags or without a figure, and tells one host; the others find the change by themselves or at their next start, so hosts differ for a while.

--- a/tests/soak/src/FaultSchedule.cpp
+++ b/tests/soak/src/FaultSchedule.cpp
@@ -102,6 +102,9 @@
         break;
     }
     case FaultKind::HostReloads:
+        // All files change, and this host alone is told.
+        for (auto& changed : this->fleet.hosts())
+            this->fleet.changeSettings(changed);
         host.process->signal(SIGHUP);
         break;
     case FaultKind::HostKilled:
--- a/tests/soak/src/FaultSchedule.h
+++ b/tests/soak/src/FaultSchedule.h
@@ -9,7 +9,7 @@
 
 enum class FaultKind {
     HostStops, //!< SIGTERM; planned work
-    HostReloads, //!< SIGHUP; planned work
+    HostReloads, //!< the settings change, and one host gets SIGHUP; planned work
     ServerDrains, //!< planned work
     ConfigurationChanges, //!< planned work
     HostKilled,
--- a/tests/soak/src/Fleet.cpp
+++ b/tests/soak/src/Fleet.cpp
@@ -4,7 +4,10 @@
 #include "platform_standin/ConfigurationEncoder.h"
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <sstream>
 
 namespace sequoia::soak {
 
@@ -40,6 +43,7 @@
     , oracle(promises)
     , violated(std::move(callback))
     , random(this->options.seed)
+    , settingsRandom(this->options.seed)
     , rows(owner, this->random())
     , readyCalls(owner, std::chrono::seconds(1))
 {
@@ -187,21 +191,39 @@
     auto ip = "127." + std::to_string(this->options.subnet) + "." + std::to_string(number + 1) + ".1";
     host.address = ip + ":7001";
     host.readyAddress = ip + ":7002";
-    auto file = this->options.directory + "/host-" + std::to_string(number) + ".ini";
-    std::ofstream(file) << "[host]\nid=host-" << number << "\ndata_centre=dc-" << number % 2
-                        << "\n[node]\nprocessor_share=" << (number % 2 == 0 ? 0.5 : 0.2)
-                        << "\n[edge]\nlisten=" << host.address << "\nready_listen=" << host.readyAddress
-                        << "\ngrace=" << toMillis(graceTime) << "ms\n[metrics]\nlisten=" << ip
-                        << ":7003\n[peers]\nlisten=" << ip << ":7004\n[store]\naddress=" << host.storeLink->address()
-                        << "\n";
+    host.settingsFile = this->options.directory + "/host-" + std::to_string(number) + ".ini";
+    std::stringstream fixed;
+    fixed << "[host]\nid=host-" << number << "\ndata_centre=dc-" << number % 2
+          << "\n[node]\nprocessor_share=" << (number % 2 == 0 ? 0.5 : 0.2) << "\n[metrics]\nlisten=" << ip
+          << ":7003\n[peers]\nlisten=" << ip << ":7004\n[store]\naddress=" << host.storeLink->address()
+          << "\n[edge]\nlisten=" << host.address << "\nready_listen=" << host.readyAddress << "\n";
+    host.fixedSettings = fixed.str();
+    std::ofstream(host.settingsFile) << host.fixedSettings << "grace=" << toMillis(graceTime) << "ms\n";
     this->allHosts.push_back(std::move(host));
     auto& added = this->allHosts.back();
-    added.process = std::make_unique<HostProcess>(this->options.node, file,
+    added.process = std::make_unique<HostProcess>(this->options.node, added.settingsFile,
         this->options.directory + "/host-" + std::to_string(number),
         [this, number](HostProcess&, ProcessEnd end) { this->processEnded(this->allHosts[number], end); });
     return added.process->start();
 }
 
+void Fleet::changeSettings(Host& host)
+{
+    // As a deployment may fill them in: whole numbers, fractions, flags, or nothing before the unit.
+    constexpr const char* graceTimes[] = { "6s", "6.5s", "7.25s", "6.0s", "s" };
+    constexpr const char* holds[] = { "10000ms", "10000.5ms", "4000ms", "2500.25ms", "1500ms", "ms", "truems" };
+    constexpr const char* windows[] = { "10s", "10.5s", "4.5s", "0.5s", "s" };
+    constexpr const char* ratios[] = { "0.2", "0.25", "1e-1", "0", "", "false" };
+    constexpr const char* slacks[] = { "60", "60.5", "1e3", "0", "" };
+    auto draw = [this](const auto& values) { return values[this->settingsRandom() % std::size(values)]; };
+    // Replaced as a whole, so that no process reads half of it.
+    auto next = host.settingsFile + ".new";
+    std::ofstream(next) << host.fixedSettings << "grace=" << draw(graceTimes)
+                        << "\n[grants]\nlongest_hold=" << draw(holds) << "\n[repeats]\nwindow=" << draw(windows)
+                        << "\nratio=" << draw(ratios) << "\nslack=" << draw(slacks) << "\n";
+    std::filesystem::rename(next, host.settingsFile);
+}
+
 void Fleet::processEnded(Host& host, ProcessEnd end)
 {
     // A process that has not come to its signal handlers yet ends by the signal itself.
--- a/tests/soak/src/Fleet.h
+++ b/tests/soak/src/Fleet.h
@@ -36,6 +36,8 @@
 struct Host {
     std::string address; //!< for callers
     std::string readyAddress;
+    std::string settingsFile;
+    std::string fixedSettings; //!< what changeSettings() does not change
     std::unique_ptr<FaultProxy> storeLink;
     std::unique_ptr<HostProcess> process;
     bool ready = false;
@@ -63,6 +65,8 @@
     //! The server says that it leaves and ends after the users' draining time.
     void drainServer(Server& server);
     void changeConfiguration();
+    //! Writes the host's settings anew, with bounds of other sizes and forms. Hosts differ for a while.
+    void changeSettings(Host& host);
     const std::vector<fleet::Route>& routes() const { return this->currentRoutes; }
 
 private:
@@ -77,6 +81,7 @@
     Oracle& oracle;
     Oracle::Violated violated;
     RandomEngine random;
+    RandomEngine settingsRandom; //!< of its own, so that the other draws of a seed stay the same
     platform_standin::StoreStandIn rows;
     client::HttpClient readyCalls;
     std::vector<Server> allServers;
