--- a/libs/fleet/include/fleet/Configuration.h
+++ b/libs/fleet/include/fleet/Configuration.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -49,6 +50,9 @@
     std::uint32_t maxConnections = 1; //!< maximum number of connections that one backend server accepts from all hosts
     bool keyed = false; //!< Each key is served only by the backend server that owns it.
     Duration warmup {}; //!< how long a backend server is slow after it receives a key without its state
+    //! Requests per second that a cold backend server sustains; 0 if the service states no limit.
+    double coldRequestsPerSecond = 0;
+    Duration coldPeriod {}; //!< how long a backend server is cold after its start
 };
 
 //! Limits on the size and duration of requests from callers.
@@ -72,11 +76,15 @@
     //! Returns null if the service is unknown.
     const ServiceOptions* service(std::string_view name) const;
     std::size_t routeCount() const { return this->count; }
+    //! Whether routes of different priority send most of their requests to the service, so that their callers compete
+    //! for its servers.
+    bool hasCompetingPriorities(std::string_view service) const;
 
 private:
     //! Routes by HTTP host and path prefix, so that match() needs one lookup per slash in the path.
     std::unordered_map<std::string, std::unordered_map<std::string, Route>> routesOfHost;
     std::size_t count = 0;
+    std::map<std::string, std::set<std::uint32_t>, std::less<>> prioritiesOfService;
 };
 
 }
--- a/libs/fleet/src/Configuration.cpp
+++ b/libs/fleet/src/Configuration.cpp
@@ -4,9 +4,27 @@
 
 namespace sequoia::fleet {
 
+namespace {
+
+//! Service that gets at least half of the requests of a route; empty if there is none.
+std::string mainServiceOf(const Route& route)
+{
+    std::uint64_t total = 0;
+    for (const auto& target : route.targets)
+        total += target.weight;
+    for (const auto& target : route.targets) {
+        if (2 * std::uint64_t { target.weight } >= total)
+            return target.service;
+    }
+    return {};
+}
+
+}
+
 void Configuration::addRoute(Route route)
 {
     assert(!route.targets.empty());
+    this->prioritiesOfService[mainServiceOf(route)].insert(route.priority);
     auto& routes = this->routesOfHost[route.host];
     auto prefix = route.prefix;
     if (routes.insert_or_assign(std::move(prefix), std::move(route)).second)
@@ -35,4 +53,10 @@
     return found == this->services.end() ? nullptr : &found->second;
 }
 
+bool Configuration::hasCompetingPriorities(std::string_view name) const
+{
+    auto found = this->prioritiesOfService.find(name);
+    return !name.empty() && found != this->prioritiesOfService.end() && found->second.size() > 1;
+}
+
 }
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -77,3 +77,27 @@
     CHECK(directory.update(entries({}), now));
     CHECK(directory.servers().empty());
 }
+
+// Guards against competition that is seen where a route sends only a small part of its requests to the service, which
+// would change how services without competing callers are scheduled.
+TEST_CASE("callers compete for a service if routes of different priority send most of their requests there")
+{
+    auto route = [](const char* prefix, std::uint32_t priority, std::vector<WeightedService> targets) {
+        Route result;
+        result.host = "h";
+        result.prefix = prefix;
+        result.priority = priority;
+        result.targets = std::move(targets);
+        return result;
+    };
+    Configuration configuration;
+    configuration.addRoute(route("/read/", 2, { { "a", 1 } }));
+    configuration.addRoute(route("/upload/", 1, { { "b", 9 }, { "a", 1 } }));
+    CHECK_FALSE(configuration.hasCompetingPriorities("a"));
+    configuration.addRoute(route("/list/", 2, { { "a", 1 } }));
+    CHECK_FALSE(configuration.hasCompetingPriorities("a"));
+    configuration.addRoute(route("/order/", 1, { { "a", 1 } }));
+    CHECK(configuration.hasCompetingPriorities("a"));
+    CHECK_FALSE(configuration.hasCompetingPriorities("b"));
+    CHECK_FALSE(configuration.hasCompetingPriorities("unknown"));
+}
