Spread surges on adjacent keys in one decision; keep unkeyed jobs in distant data centres

Cause: at most three moves left a server each 300 ms, and rates were averaged over 3 s, so a surge of 4 to 5 s on 60 to 200 adjacent keys was over before it was spread. Unkeyed jobs crossed data centres for 8% of speed, at any distance. Change: KeyLoad compares recent rates (0.5 s) with the average for each 64 keys; SurgePolicy::SpreadImmediately moves what exceeds a server's capacity in one decision, for services with competing priorities only. Hosts report their shortest round trip; where data centres are over 3 ms apart, an unkeyed job goes to a server of its own data centre that answers by the target.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -42,6 +42,9 @@
     void setSlotShare(double share) { this->slotShare = share; }
     //! Makes schedulers with different seeds prefer different servers among about equal ones. Zero: no preference.
     void setSpreadSeed(std::uint64_t seed) { this->spreadSeed = seed; }
+    //! Sets the one-way delay between data centres. Where it is long, jobs of services without keys stay in the data
+    //! centre of their host as long as a server there is expected to answer by the target.
+    void setDataCentreDistance(Duration oneWay) { this->dataCentreDistance = oneWay; }
     //! Replaces the known backend servers; servers that are missing from the map are removed.
     void setServers(const fleet::ServerMap& servers, TimePoint now);
     //! Places no job of the host on the server until the given time, as the server asked.
@@ -108,6 +111,7 @@
     std::unordered_map<JobId, std::string, JobIdHash> waiting; //!< service by job
     TimePoint lastDeadlineCheck {};
     TimePoint lastPauseEnd {}; //!< of all pauses that servers have asked for
+    Duration dataCentreDistance {};
     double slotShare = 1;
     std::uint64_t spreadSeed = 0;
 };
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -21,6 +21,10 @@
 // the bytes, which is less than the variation between equal servers.
 constexpr double newConnectionFactor = 1.15;
 constexpr double otherDataCentreFactor = 1.08;
+// Data centres further apart than this (one way) are connected by links that callers' data should not cross needlessly.
+constexpr Duration farDataCentreDistance = std::chrono::milliseconds(3);
+// A server answers by the target with good probability if this many times its expected service time is left.
+constexpr double serviceTimeMargin = 1.5;
 // Largest preference among equal servers by the spread seed; more than the preference for the own data centre.
 constexpr double maxSpread = 0.3;
 // Servers whose cost, which is mainly their slowness, exceeds this get only jobs that they can finish by the target.
@@ -405,6 +409,10 @@
 {
     const ServerLoad* best = nullptr;
     double bestCost = 0;
+    const ServerLoad* nearest
+        = nullptr; // the best one in the job's data centre that is expected to answer by the target
+    double nearestCost = 0;
+    bool preferNear = this->dataCentreDistance > farDataCentreDistance;
     double averageMicros = pool.averageServiceMicros;
     for (const auto* member : pool.members) {
         const auto& load = *member;
@@ -433,7 +441,15 @@
             best = member;
             bestCost = cost;
         }
+        if (!preferNear || load.entry().dataCentre != job.dataCentre || (nearest && cost >= nearestCost))
+            continue;
+        if (now + Duration(static_cast<std::int64_t>(expectedMicros * serviceTimeMargin)) <= job.target) {
+            nearest = member;
+            nearestCost = cost;
+        }
     }
+    if (nearest)
+        best = nearest;
     return best ? std::optional(best->entry().instance.id) : std::nullopt;
 }
 
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -90,6 +90,7 @@
         std::map<std::string, TimePoint> stateSentAt; //!< when the last request for a group was answered
         double processorShare = 0;
         std::string dataCentre;
+        Duration roundTripTime {}; //!< to this coordinator; zero if not measured
         TimePoint firstReport {};
         bool leaving = false;
         TimePoint lastStoreContact {}; //!< as the host reported
@@ -121,6 +122,8 @@
     std::map<std::string, std::uint32_t> standbyRanks(const std::string& ownIncarnation) const;
     void fillHostAddresses(Host& host, wire::Beacon& beacon) const;
     void updateCapacities();
+    void updateSurgePolicies();
+    void updateDataCentreDistance();
     void updateOwnership();
     void removeTimedOutHosts();
 
@@ -152,6 +155,7 @@
     std::uint64_t lastHostNumber = 0;
     bool peerStoreContact = false;
     TimePoint lastLoadUpdate {};
+    TimePoint lastDistanceUpdate {};
     bool ownershipFrozen = false;
     std::vector<std::string> predecessorHosts; //!< addresses
     TimePoint predecessorHostsUntil {};
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -2,6 +2,7 @@
 
 #include "balance/Scheduler.h"
 #include "coordination/KeyPlanCache.h"
+#include "coordination/RoundTripTime.h"
 #include "edge/Placer.h"
 #include "fleet/LeavingServers.h"
 
@@ -73,6 +74,7 @@
     };
 
     void sendSubmit(PendingJob& entry);
+    void recordReply(const PendingJob& entry);
     void submitLocally(std::uint64_t number);
     void applyDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     void resubmitAll();
@@ -102,6 +104,7 @@
     std::uint64_t hostNumber = 0;
     bool coordinatorActive = false;
     TimePoint lastCoordinatorContact {};
+    RoundTripTime roundTripTime; //!< of submissions to the coordinator
     std::map<std::uint64_t, PendingJob> pendingJobs;
     struct PlacedJob {
         fleet::ServerInstance server;
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -32,6 +32,7 @@
 constexpr double defaultLinkMegabits = 20;
 // Changes of the list of servers go to all hosts at once up to this size; hosts ask for larger ones.
 constexpr std::size_t maxAnnouncedBytes = std::size_t { 4 } * 1024;
+constexpr Duration distanceUpdateInterval = std::chrono::seconds(1);
 constexpr Duration ownerPublishInterval = std::chrono::seconds(1);
 // Number of standbys, which take over first when the coordinator is lost; several, since some may be lost with it.
 constexpr std::size_t standbyCount = 3;
@@ -272,6 +273,7 @@
     this->setUnmanagedJobs(host, std::move(inFlight));
     host.processorShare = report.strength();
     host.dataCentre = report.data_centre();
+    host.roundTripTime = Duration(report.round_trip_us());
     host.leaving = report.leaving();
     if (report.store_contact_age_ms() < storeContactTimeoutMs) {
         this->peerStoreContact = true;
@@ -346,6 +348,7 @@
     if (!this->started)
         return;
     this->removeTimedOutHosts();
+    this->updateDataCentreDistance();
     if (!this->ownershipFrozen)
         this->updateOwnership();
     this->addDecisions(this->scheduler.tick(this->clock.now()));
@@ -384,6 +387,39 @@
     }
 }
 
+// Servers of a service that callers of different priority compete for must not be taken by a surge on some keys.
+void Coordinator::updateSurgePolicies()
+{
+    for (auto& [service, entry] : this->keyedServices) {
+        bool spread = this->configuration->hasCompetingPriorities(service);
+        entry.load.setSurgeDetection(spread);
+        entry.leaseManager->setSurgePolicy(
+            spread ? keyspace::SurgePolicy::SpreadImmediately : keyspace::SurgePolicy::Gradual);
+    }
+}
+
+// The hosts in the coordinator's own data centre have the shortest round trips, so the second shortest time of a data
+// centre is that of the next one.
+void Coordinator::updateDataCentreDistance()
+{
+    auto now = this->clock.now();
+    if (now - this->lastDistanceUpdate < distanceUpdateInterval)
+        return;
+    this->lastDistanceUpdate = now;
+    std::map<std::string, Duration> shortest;
+    for (const auto& [incarnation, host] : this->hosts) {
+        if (host.roundTripTime <= Duration::zero())
+            continue;
+        auto [entry, added] = shortest.try_emplace(host.dataCentre, host.roundTripTime);
+        entry->second = std::min(entry->second, host.roundTripTime);
+    }
+    std::vector<Duration> times;
+    for (const auto& [dataCentre, time] : shortest)
+        times.push_back(time);
+    std::sort(times.begin(), times.end());
+    this->scheduler.setDataCentreDistance(times.size() < 2 ? Duration::zero() : times[1] / 2);
+}
+
 void Coordinator::updateOwnership()
 {
     if (!this->configuration || this->servers.empty())
@@ -403,6 +439,7 @@
         this->applyServers();
     if (added || now - this->lastLoadUpdate >= keyLoadInterval) {
         this->lastLoadUpdate = now;
+        this->updateSurgePolicies();
         this->updateCapacities();
     }
     for (auto& [service, entry] : this->keyedServices) {
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -30,6 +30,7 @@
 constexpr int unknownOwnerWaitDivisor = 2;
 // This host's number in its own scheduler.
 constexpr std::uint64_t localHost = 0;
+constexpr std::int64_t maxReportedRoundTripMicros = 10'000'000;
 // Used until a beacon gives the number of hosts.
 constexpr std::uint32_t defaultHostCount = 10;
 
@@ -244,6 +245,7 @@
 
 void PlacementClient::forgetCoordinatorJobs()
 {
+    this->roundTripTime.clear();
     this->recentJobEnds.clear();
     this->resubmitAll();
 }
@@ -277,12 +279,22 @@
         this->submitLocally(number);
 }
 
+// Only the reply to a submission that was sent once shows which message it answers.
+void PlacementClient::recordReply(const PendingJob& entry)
+{
+    auto now = this->clock.now();
+    if (entry.atCoordinator && !entry.acknowledged && entry.resendCount == 0)
+        this->roundTripTime.record(now - entry.firstSent, now);
+}
+
 void PlacementClient::receive(const wire::Datagram& datagram)
 {
     for (const auto& message : datagram.queued()) {
         auto found = this->pendingJobs.find(message.job());
-        if (found != this->pendingJobs.end())
-            found->second.acknowledged = true;
+        if (found == this->pendingJobs.end())
+            continue;
+        this->recordReply(found->second);
+        found->second.acknowledged = true;
     }
     for (const auto& message : datagram.placements())
         this->onJobPlaced(message.job(), { message.server(), message.born_ms() }, message.address(), true);
@@ -306,6 +318,8 @@
         this->declinePlacement(found->second, server);
         return;
     }
+    if (byCoordinator)
+        this->recordReply(found->second);
     auto* observer = found->second.observer;
     this->pendingJobs.erase(found);
     this->placedJobs[number] = { server, byCoordinator ? this->term : 0, this->hostNumber };
@@ -413,6 +427,8 @@
 
 void PlacementClient::fillReport(wire::Report& report) const
 {
+    report.set_round_trip_us(static_cast<std::uint32_t>(
+        std::min<std::int64_t>(this->roundTripTime.shortest(this->clock.now()).count(), maxReportedRoundTripMicros)));
     // Counts the jobs that the coordinator of this term has not placed itself.
     std::map<std::string, std::uint32_t> inFlight;
     for (const auto& [number, job] : this->placedJobs) {
--- a/libs/keyspace/include/keyspace/KeyLeaseManager.h
+++ b/libs/keyspace/include/keyspace/KeyLeaseManager.h
@@ -90,6 +90,7 @@
 
     void setServers(const fleet::ServerMap& servers);
     void setCapacities(const ServerCapacities& capacities) { this->capacities = capacities; }
+    void setSurgePolicy(SurgePolicy policy) { this->surgePolicy = policy; }
     //! Applies to the orders that are sent from now on.
     void setOptions(const KeyLeaseOptions& changed) { this->options = changed; }
 
@@ -166,6 +167,7 @@
     std::map<fleet::ServerInstance, std::string> lastAddresses; //!< also of servers that are no longer listed
     std::map<fleet::ServerInstance, TimePoint> lastFailedOrderAt; //!< of servers whose last order was not accepted
     ServerCapacities capacities;
+    SurgePolicy surgePolicy = SurgePolicy::Gradual;
     std::optional<std::uint64_t> pendingWrite; //!< sequence of the plan whose write is not confirmed
     bool fencesRaised = false;
     //! Orders of an earlier coordinator have arrived by then, if at all.
--- a/libs/keyspace/src/KeyLeaseManager.cpp
+++ b/libs/keyspace/src/KeyLeaseManager.cpp
@@ -11,6 +11,8 @@
 constexpr Duration rebalanceInterval = std::chrono::milliseconds(300);
 // Keys do not move again, and ranges are not merged, for this time after a move.
 constexpr Duration cooldownAfterMove = std::chrono::seconds(2);
+// The same while surges are spread: their next keys may lie on a server that has just taken some.
+constexpr Duration cooldownDuringSurge = std::chrono::milliseconds(600);
 // After this many unanswered renewals in a row no more are sent, so that the lease of a lost server expires.
 constexpr unsigned maxUnansweredRenewals = 2;
 // After this many unanswered grants in a row the keys go to another server.
@@ -214,10 +216,11 @@
         if (this->isReady(server) && !this->isUnresponsive(server, now))
             usable[server] = capacity;
     }
-    for (const auto& move : chooseRebalancingMoves(this->currentPlan, load, usable)) {
+    auto cooldown = this->surgePolicy == SurgePolicy::SpreadImmediately ? cooldownDuringSurge : cooldownAfterMove;
+    for (const auto& move : chooseRebalancingMoves(this->currentPlan, load, usable, this->surgePolicy)) {
         const auto& state = this->states[this->currentPlan.rangeIndexOf(move.keys.first)];
         // An outstanding renewal would delay the release.
-        if (state.stage != Stage::Steady || state.outstandingOrder != 0 || now - state.movedAt < cooldownAfterMove)
+        if (state.stage != Stage::Steady || state.outstandingOrder != 0 || now - state.movedAt < cooldown)
             continue;
         this->applyMove(move, "load", outputs);
     }
--- a/libs/keyspace/src/Rebalancer.cpp
+++ b/libs/keyspace/src/Rebalancer.cpp
@@ -24,6 +24,12 @@
 // A server whose hottest key uses less than this fraction of its capacity can take another hot key; its other keys
 // move away then.
 constexpr double freeForHotKeyFraction = 0.5;
+// Keys of a server that cannot handle its requests move until it, and each server that takes some, has this
+// utilization. Spreading them further would take more moves, each of which delays requests for its keys.
+constexpr double utilizationAfterSurgeMove = 0.75;
+// Limit of moves per decision during a surge. 200 adjacent keys with half of all requests need about one server in
+// five.
+constexpr std::size_t serversPerSurgeMove = 2;
 // Load assumed for a key without traffic when owners are assigned, relative to the mean load of a key.
 constexpr double idleKeyWeight = 0.3;
 
@@ -55,6 +61,54 @@
     return result;
 }
 
+//! Servers of a surge, by what they get beyond the utilization that they should have, or below it.
+class SurgeTargets {
+public:
+    SurgeTargets(const KeyPlan& plan, const std::vector<ServerUsage>& usage, double utilization)
+        : limit(utilization)
+    {
+        for (const auto& range : plan.ranges)
+            ++this->rangeCounts[range.successor ? range.successor->server : range.owner];
+        for (const auto& entry : usage)
+            this->exhausted[entry.server] = entry.utilization() <= 1;
+    }
+
+    double excess(const ServerUsage& entry) const { return entry.load - this->limit * entry.capacity; }
+
+    //! The server that exceeds its capacity most and still has keys that can move; null if there is none.
+    ServerUsage* source(std::vector<ServerUsage>& usage) const
+    {
+        ServerUsage* found = nullptr;
+        for (auto& entry : usage) {
+            if (!this->exhausted.at(entry.server) && (!found || this->excess(entry) > this->excess(*found)))
+                found = &entry;
+        }
+        return found;
+    }
+
+    //! The server with the most spare capacity; null if there is none.
+    ServerUsage* target(std::vector<ServerUsage>& usage) const
+    {
+        ServerUsage* found = nullptr;
+        for (auto& entry : usage) {
+            auto ranges = this->rangeCounts.find(entry.server);
+            if (this->excess(entry) >= 0 || (ranges != this->rangeCounts.end() && ranges->second >= maxRangesPerServer))
+                continue;
+            if (!found || this->excess(entry) < this->excess(*found))
+                found = &entry;
+        }
+        return found;
+    }
+
+    void markExhausted(const ServerUsage& entry) { this->exhausted[entry.server] = true; }
+    void addRange(const ServerUsage& entry) { ++this->rangeCounts[entry.server]; }
+
+private:
+    double limit;
+    std::map<fleet::ServerInstance, std::size_t> rangeCounts;
+    std::map<fleet::ServerInstance, bool> exhausted; //!< gets less than its capacity, or has no keys that can move
+};
+
 struct MoveCandidate {
     fleet::KeyRange keys;
     double load = 0;
@@ -176,10 +230,38 @@
         plan.ranges.begin(), plan.ranges.end(), [&](const PlannedRange& range) { return range.owner == server; }));
 }
 
+//! Moves keys away from servers that get more requests than they can handle, within one decision. `plan` loses the keys
+//! that are chosen.
+void addSurgeMoves(KeyPlan& plan, const KeyLoad& load, std::vector<ServerUsage>& usage, double meanUtilization,
+    std::vector<KeyMove>& moves)
+{
+    SurgeTargets servers(plan, usage, std::max(meanUtilization, utilizationAfterSurgeMove));
+    auto limit = std::max(minMoveLimit, usage.size() / serversPerSurgeMove);
+    while (moves.size() < limit) {
+        auto* from = servers.source(usage);
+        auto* to = servers.target(usage);
+        if (!from || !to)
+            break;
+        double noise = noiseDeviations * std::sqrt(std::max(1.0, from->load) / load.measuredSeconds());
+        double excess = servers.excess(*from);
+        auto candidate = excess > noise ? chooseKeys(plan, load, from->server, std::min(excess, -servers.excess(*to)))
+                                        : std::nullopt;
+        if (!candidate || candidate->load <= 0) {
+            servers.markExhausted(*from);
+            continue;
+        }
+        moves.push_back({ candidate->keys, to->server });
+        removeKeys(plan, candidate->keys);
+        servers.addRange(*to);
+        from->load -= candidate->load;
+        to->load += candidate->load;
+    }
+}
+
 }
 
 std::vector<KeyMove> chooseRebalancingMoves(
-    const KeyPlan& plan, const KeyLoad& load, const ServerCapacities& capacities)
+    const KeyPlan& plan, const KeyLoad& load, const ServerCapacities& capacities, SurgePolicy policy)
 {
     std::vector<KeyMove> moves;
     // Without the keys that have already been chosen to move.
@@ -206,6 +288,8 @@
         }
         remainingPlan.ranges.erase(remainingPlan.ranges.begin() + static_cast<std::ptrdiff_t>(index));
     }
+    if (policy == SurgePolicy::SpreadImmediately)
+        addSurgeMoves(remainingPlan, load, usage, mean, moves);
     auto lessUtilized
         = [](const ServerUsage& left, const ServerUsage& right) { return left.utilization() < right.utilization(); };
     std::map<fleet::ServerInstance, int> movesFrom;
--- a/libs/keyspace/tests/RebalancerTest.cpp
+++ b/libs/keyspace/tests/RebalancerTest.cpp
@@ -1,5 +1,8 @@
 #include "keyspace/Rebalancer.h"
 
+#include "core/Random.h"
+
+#include <cmath>
 #include <doctest/doctest.h>
 
 using namespace sequoia;
@@ -210,3 +213,125 @@
     for (const auto& move : chooseRebalancingMoves(plan, loadOn({ 100, 100 }, 21), capacities))
         CHECK(!move.keys.contains(100));
 }
+
+namespace {
+
+constexpr std::uint32_t fleetSize = 60;
+
+//! Equal ranges and capacities of `fleetSize` servers.
+KeyPlan planOfFleet()
+{
+    KeyPlan plan;
+    plan.service = "s";
+    std::uint32_t width = fleet::keyCount / fleetSize;
+    for (std::uint32_t i = 0; i < fleetSize; ++i) {
+        auto last = i + 1 == fleetSize ? fleet::keyCount - 1 : (i + 1) * width - 1;
+        plan.ranges.push_back({ { static_cast<fleet::Key>(i * width), static_cast<fleet::Key>(last) }, serverAt(i),
+            i + 1, std::nullopt, false });
+    }
+    plan.lastFence = fleetSize;
+    return plan;
+}
+
+//! Four requests a second and server everywhere, then half a second with 480 requests a second on 200 adjacent keys.
+KeyLoad loadWithSurge(bool detection)
+{
+    KeyLoad load;
+    load.setSurgeDetection(detection);
+    TimePoint now { std::chrono::seconds(1) };
+    auto recordEvenly = [&load](std::uint32_t& next) {
+        for (std::uint32_t i = 0; i < fleetSize; ++i)
+            load.recordRequest(static_cast<fleet::Key>(next = (next + 40'503) % fleet::keyCount));
+    };
+    std::uint32_t next = 0;
+    for (int quarter = 0; quarter < 40; ++quarter) {
+        recordEvenly(next);
+        load.updateAverages(now += std::chrono::milliseconds(250));
+    }
+    for (int quarter = 0; quarter < 2; ++quarter) {
+        recordEvenly(next);
+        for (std::uint32_t i = 0; i < 120; ++i)
+            load.recordRequest(static_cast<fleet::Key>(20'000 + (i * 67) % 200));
+        load.updateAverages(now += std::chrono::milliseconds(250));
+    }
+    return load;
+}
+
+ServerCapacities capacitiesOfFleet()
+{
+    ServerCapacities capacities;
+    for (std::uint32_t i = 0; i < fleetSize; ++i)
+        capacities[serverAt(i)] = capacityOfServer;
+    return capacities;
+}
+
+}
+
+// Guards against surges that are over before the averages show them.
+TEST_CASE("a surge on adjacent keys shows within half a second")
+{
+    fleet::KeyRange surge { 20'000, 20'199 };
+    CHECK(loadWithSurge(true).rateOf(surge) > 0.5 * 480);
+    CHECK(loadWithSurge(false).rateOf(surge) < 0.25 * 480);
+}
+
+// Guards against random fluctuation that is taken for a surge and moves keys.
+TEST_CASE("random arrivals do not look like a surge")
+{
+    KeyLoad load;
+    KeyLoad reference;
+    load.setSurgeDetection(true);
+    RandomEngine random(7);
+    TimePoint now { std::chrono::seconds(1) };
+    int differences = 0;
+    for (int quarter = 0; quarter < 120; ++quarter) {
+        for (int i = 0; i < 500; ++i) {
+            auto key = static_cast<fleet::Key>(random() % fleet::keyCount);
+            load.recordRequest(key);
+            reference.recordRequest(key);
+        }
+        now += std::chrono::milliseconds(250);
+        load.updateAverages(now);
+        reference.updateAverages(now);
+        differences += std::abs(load.rateBelow(fleet::keyCount) - reference.rateBelow(fleet::keyCount)) > 1 ? 1 : 0;
+    }
+    CHECK(differences <= 30);
+}
+
+// Guards against a surge that stays on one server: its callers and those of the neighbouring keys are refused.
+TEST_CASE("one decision spreads a surge on adjacent keys so far that each server can handle its requests")
+{
+    auto load = loadWithSurge(true);
+    auto plan = planOfFleet();
+    applyMoves(plan, chooseRebalancingMoves(plan, load, capacitiesOfFleet(), SurgePolicy::SpreadImmediately));
+    CHECK(largestUtilization(plan, load) <= 1);
+
+    auto gradual = planOfFleet();
+    applyMoves(gradual, chooseRebalancingMoves(gradual, load, capacitiesOfFleet()));
+    CHECK(largestUtilization(gradual, load) > 3);
+}
+
+// Guards against callers of other keys that are refused because they share the server of a hot key.
+TEST_CASE("in a surge on a single key all other keys leave its server")
+{
+    KeyLoad load;
+    load.setSurgeDetection(true);
+    TimePoint now { std::chrono::seconds(1) };
+    for (int quarter = 0; quarter < 12; ++quarter) {
+        for (std::uint32_t i = 0; i < fleetSize; ++i)
+            load.recordRequest(static_cast<fleet::Key>(i * (fleet::keyCount / fleetSize) + 7));
+        for (int i = 0; i < 50; ++i)
+            load.recordRequest(20'000);
+        load.updateAverages(now += std::chrono::milliseconds(250));
+    }
+    auto plan = planOfFleet();
+    auto owner = plan.ranges[plan.rangeIndexOf(20'000)].owner;
+    applyMoves(plan, chooseRebalancingMoves(plan, load, capacitiesOfFleet(), SurgePolicy::SpreadImmediately));
+    double otherLoad = 0;
+    for (const auto& range : plan.ranges) {
+        if (range.owner == owner && !range.keys.contains(20'000))
+            otherLoad += load.rateOf(range.keys);
+    }
+    CHECK(plan.ranges[plan.rangeIndexOf(20'000)].owner == owner);
+    CHECK(otherLoad < 1);
+}
