Evacuation of data centres: read, spread among hosts, applied like draining

Change: fleet::Evacuations keeps the newest state by version of the store; ConfigurationWatcher reads the rows with the configuration, the coordinator copies the state to hosts as a group of its own, servers of the data centres count as draining for queues, keys and local placement, and hosts decline placements there. Switched on by [evacuation] bound.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -5,6 +5,7 @@
 #include "coordination/StatePublisher.h"
 #include "core/Random.h"
 #include "fleet/Configuration.h"
+#include "fleet/Evacuations.h"
 #include "fleet/LeavingServers.h"
 #include "keyspace/KeyLeaseManager.h"
 
@@ -48,6 +49,8 @@
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setKeyLeaseOptions(const keyspace::KeyLeaseOptions& options);
     void setServers(const fleet::ServerMap& servers);
+    //! Takes the keys from the servers of these data centres and sends the state to all hosts.
+    void setEvacuations(const fleet::EvacuationState& state);
 
     //! Processes a datagram of a host.
     void receive(const wire::Datagram& datagram, const std::string& address);
@@ -134,6 +137,7 @@
     fleet::ServerMap listedServers; //!< as they were set
     fleet::ServerMap servers; //!< with the leaving ones marked as draining
     fleet::LeavingServers leavingServers;
+    fleet::Evacuations evacuations;
     fleet::ServerMap announcedServers; //!< as of the last round of beacons
     std::map<std::string, unsigned> unmanagedJobs; //!< of all hosts, by server
     TimePoint ownersPublishedAt {};
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -3,6 +3,7 @@
 #include "balance/Scheduler.h"
 #include "coordination/KeyPlanCache.h"
 #include "edge/Placer.h"
+#include "fleet/Evacuations.h"
 #include "fleet/LeavingServers.h"
 
 #include <deque>
@@ -35,6 +36,7 @@
     void setSpreadSeed(std::uint64_t seed) { this->scheduler.setSpreadSeed(seed); }
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
+    void setEvacuations(const fleet::EvacuationState& state);
     //! Number of hosts that share the retry budget while each of them places its jobs locally. The times after which a
     //! job is submitted again or placed locally depend on it, too.
     void setHostCount(std::uint32_t hosts);
@@ -79,6 +81,7 @@
     void onJobPlaced(
         std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator);
     bool mustDecline(const fleet::ServerInstance& server) const;
+    bool isEvacuated(const std::string& server) const;
     void declinePlacement(PendingJob& entry, const fleet::ServerInstance& server);
     void forgetCoordinatorJobs();
     void handWaitingJobsOver();
@@ -96,6 +99,7 @@
     fleet::ServerMap listedServers; //!< as they were set
     fleet::ServerMap servers; //!< with the leaving ones marked as draining
     fleet::LeavingServers leavingServers;
+    fleet::Evacuations evacuations;
     std::map<fleet::ServerInstance, TimePoint> pauses; //!< that servers asked this host for, with their ends
     Duration resendInterval {};
     Duration replyTimeout {};
--- a/libs/coordination/include/coordination/StateEncoding.h
+++ b/libs/coordination/include/coordination/StateEncoding.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Error.h"
+#include "fleet/Evacuations.h"
 #include "fleet/ServerEntry.h"
 #include "keyspace/KeyPlan.h"
 
@@ -13,6 +14,7 @@
 //! Names of the groups of replicated state.
 inline constexpr const char* serverGroup = "servers";
 inline constexpr const char* configurationGroup = "configuration";
+inline constexpr const char* evacuationGroup = "evacuations";
 //! Keeps a datagram within one Ethernet frame: the loss of one fragment would lose all of them.
 inline constexpr std::size_t maxPacketBytes = 1300;
 std::string ownerGroup(const std::string& service);
@@ -36,4 +38,7 @@
 std::vector<std::string> encodeText(const std::string& text);
 std::string decodeText(const std::vector<std::string>& buckets);
 
+std::vector<std::string> encodeEvacuations(const fleet::EvacuationState& state);
+Result<fleet::EvacuationState> decodeEvacuations(const std::vector<std::string>& buckets);
+
 }
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -95,13 +95,16 @@
     auto now = this->clock.now();
     this->servers = this->listedServers;
     this->leavingServers.apply(this->servers, now);
+    // Hosts apply the evacuations themselves: a server that is listed as draining stays so until it starts anew.
     this->publisher.publish(serverGroup, encodeServers(this->servers));
-    this->scheduler.setServers(this->servers, now);
+    auto usableServers = this->servers;
+    this->evacuations.apply(usableServers);
+    this->scheduler.setServers(usableServers, now);
     for (const auto& [server, count] : this->unmanagedJobs)
         this->scheduler.setOtherHostsInFlight(server, count);
     for (auto& [service, entry] : this->keyedServices) {
         fleet::ServerMap serversOfService;
-        for (const auto& [id, server] : this->servers) {
+        for (const auto& [id, server] : usableServers) {
             if (server.service == service)
                 serversOfService.emplace(id, server);
         }
@@ -109,6 +112,14 @@
     }
 }
 
+void Coordinator::setEvacuations(const fleet::EvacuationState& state)
+{
+    bool changed = this->evacuations.update(state);
+    this->publisher.publish(evacuationGroup, encodeEvacuations(this->evacuations.state()));
+    if (changed)
+        this->applyServers();
+}
+
 balance::Owner Coordinator::ownerOf(std::string_view service, fleet::Key key) const
 {
     auto found = this->keyedServices.find(service);
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -192,9 +192,22 @@
     auto now = this->clock.now();
     this->servers = this->listedServers;
     this->leavingServers.apply(this->servers, now);
+    this->evacuations.apply(this->servers);
     this->scheduler.setServers(this->servers, now);
 }
 
+void PlacementClient::setEvacuations(const fleet::EvacuationState& state)
+{
+    if (this->evacuations.update(state))
+        this->applyServers();
+}
+
+bool PlacementClient::isEvacuated(const std::string& server) const
+{
+    auto entry = this->listedServers.find(server);
+    return entry != this->listedServers.end() && this->evacuations.contains(entry->second.dataCentre);
+}
+
 void PlacementClient::setHostCount(std::uint32_t hosts)
 {
     double factor = std::max(1.0, hosts / hostsWithMinTimeouts);
@@ -302,6 +315,12 @@
             this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         return;
     }
+    if (byCoordinator && this->isEvacuated(server.id)) {
+        // The coordinator does not know of the evacuation yet, and would place the job there again.
+        this->queueJobEnd(number, balance::JobResult::Abandoned, {});
+        this->submitLocally(number);
+        return;
+    }
     if (byCoordinator && this->mustDecline(server)) {
         this->declinePlacement(found->second, server);
         return;
--- a/libs/coordination/src/StateEncoding.cpp
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -1,6 +1,8 @@
 #include "coordination/StateEncoding.h"
 
 #include <algorithm>
+#include <charconv>
+#include <sstream>
 #include <xxhash.h>
 
 namespace sequoia::coordination {
@@ -169,4 +171,28 @@
     return text;
 }
 
+std::vector<std::string> encodeEvacuations(const fleet::EvacuationState& state)
+{
+    // Names of data centres contain no line breaks: they are keys of rows.
+    std::string text = std::to_string(state.version) + "\n";
+    for (const auto& dataCentre : state.dataCentres)
+        text += dataCentre + "\n";
+    return encodeText(text);
+}
+
+Result<fleet::EvacuationState> decodeEvacuations(const std::vector<std::string>& buckets)
+{
+    std::istringstream text(decodeText(buckets));
+    fleet::EvacuationState state;
+    std::string line;
+    std::getline(text, line);
+    auto [end, status] = std::from_chars(line.data(), line.data() + line.size(), state.version);
+    if (status != std::errc() || end != line.data() + line.size())
+        return Error { ErrorKind::MalformedMessage, "the state of the evacuations has no version",
+            "check that all hosts run the same version" };
+    while (std::getline(text, line))
+        state.dataCentres.insert(line);
+    return state;
+}
+
 }
--- a/programs/node/src/ConfigurationWatcher.cpp
+++ b/programs/node/src/ConfigurationWatcher.cpp
@@ -88,7 +88,7 @@
             return;
         }
         this->hasReadTable = true;
-        this->applyRows(valueOf(rowSet));
+        this->applyRows(valueOf(rowSet), true);
     });
 }
 
@@ -102,7 +102,7 @@
         [this](Result<store::RowSet> rowSet) {
             this->waitInProgress = false;
             if (succeeded(rowSet))
-                this->applyRows(valueOf(rowSet));
+                this->applyRows(valueOf(rowSet), false);
             else
                 this->retry(errorOf(rowSet));
         });
@@ -128,7 +128,31 @@
     });
 }
 
-void ConfigurationWatcher::applyRows(const store::RowSet& rowSet)
+void ConfigurationWatcher::applyEvacuations(const store::RowSet& rowSet, bool complete)
+{
+    if (!this->evacuationsChanged)
+        return;
+    bool changedNow = false;
+    fleet::EvacuationState state { rowSet.storeVersion, {} };
+    for (const auto& row : rowSet.rows) {
+        auto dataCentre = platform_adapter::evacuatedDataCentre(row.name.key);
+        if (!dataCentre)
+            continue;
+        if (!row.removed)
+            state.dataCentres.insert(*dataCentre);
+        if (!complete)
+            changedNow = this->evacuations.change(*dataCentre, !row.removed, row.version) || changedNow;
+    }
+    if (complete)
+        changedNow = this->evacuations.update(state);
+    if (!changedNow && this->evacuationsReported)
+        return;
+    // The first state is reported even if it is empty, since another host may know of an evacuation that has ended.
+    this->evacuationsReported = true;
+    this->evacuationsChanged(this->evacuations.state());
+}
+
+void ConfigurationWatcher::applyRows(const store::RowSet& rowSet, bool complete)
 {
     this->lastStoreResponse = this->reactor.now();
     this->failures = 0;
@@ -142,6 +166,7 @@
             continue;
         this->applyText(row.value, "row version " + std::to_string(row.version));
     }
+    this->applyEvacuations(rowSet, complete);
     this->follow();
 }
 
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/Configuration.h"
+#include "fleet/Evacuations.h"
 #include "net/Reactor.h"
 #include "store/RowStore.h"
 #include "timeline/EventLog.h"
@@ -19,6 +20,8 @@
     using ChangeCallback
         = std::function<void(const std::shared_ptr<const fleet::Configuration>&, const std::string& text)>;
 
+    using EvacuationCallback = std::function<void(const fleet::EvacuationState&)>;
+
     //! Where the newest configuration comes from.
     enum class Source {
         Coordinator, //!< The coordinator reaches the store and sends each change.
@@ -29,6 +32,8 @@
     ConfigurationWatcher(
         net::Reactor& reactor, store::RowStore& store, timeline::EventLog& events, ChangeCallback changed);
 
+    //! Sets the callback for evacuations, which are rows of the same table. Without it, these rows are ignored.
+    void setEvacuationCallback(EvacuationCallback callback) { this->evacuationsChanged = std::move(callback); }
     void start();
     void setSource(Source source);
     //! Reads the row if the coordinator has announced a newer version than the current one for a while.
@@ -43,13 +48,18 @@
     void readAll();
     void follow();
     void retry(const Error& error);
-    void applyRows(const store::RowSet& rowSet);
+    //! `complete` if the rows are the whole table, and not only its changes.
+    void applyRows(const store::RowSet& rowSet, bool complete);
+    void applyEvacuations(const store::RowSet& rowSet, bool complete);
     void applyText(const std::string& text, const std::string& origin);
 
     net::Reactor& reactor;
     store::RowStore& store;
     timeline::EventLog& events;
     ChangeCallback changed;
+    EvacuationCallback evacuationsChanged;
+    fleet::Evacuations evacuations; //!< as this host has read them
+    bool evacuationsReported = false;
     std::shared_ptr<const fleet::Configuration> configuration;
     store::RowVersion lastStoreVersion = 0;
     Source source = Source::Store;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -100,6 +100,24 @@
     }
 }
 
+void CoordinationTask::setEvacuations(const fleet::EvacuationState& state, const char* source)
+{
+    bool changed = this->evacuations.update(state);
+    const auto& current = this->evacuations.state();
+    if (changed) {
+        std::string names;
+        for (const auto& name : current.dataCentres)
+            names += (names.empty() ? "" : ",") + name;
+        this->events.record(timeline::Severity::Info, "evacuations",
+            { { "data_centres", names }, { "version", std::to_string(current.version) }, { "source", source } });
+    }
+    this->placement->setEvacuations(current);
+    if (!this->coordinator)
+        return;
+    this->coordinator->setEvacuations(current);
+    this->runCoordinator();
+}
+
 void CoordinationTask::reload(const settings::Settings& settings)
 {
     this->schedulerOptions = makeSchedulerOptions(settings);
@@ -187,6 +205,8 @@
                 { { "service", service }, { "reason", errorOf(updated).message },
                     { "remedy", errorOf(updated).remedy } });
     };
+    callbacks.onEvacuations
+        = [this](const fleet::EvacuationState& state) { this->setEvacuations(state, "coordinator"); };
     this->receivedState.setCallbacks(std::move(callbacks));
     this->onVersionAnnounced = std::move(versionCallback);
 }
@@ -363,6 +383,8 @@
         this->reactor.timeSource(), term, this->schedulerOptions, this->keyLeaseOptions);
     this->coordinator->setConfiguration(this->configuration, this->configurationText);
     this->coordinator->setLinkSpeed(this->linkMegabits);
+    if (this->evacuations.state().version != 0)
+        this->coordinator->setEvacuations(this->evacuations.state());
     this->coordinator->setServers(this->servers);
     this->coordinator->setPredecessorHosts(this->knownHosts);
     this->loadPlans(term);
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -34,6 +34,8 @@
     //! `text` is the configuration as stored.
     void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration, const std::string& text);
     void setServers(const fleet::ServerMap& servers);
+    //! Takes what this host has read; `source` is for the log.
+    void setEvacuations(const fleet::EvacuationState& state, const char* source);
     //! Applies changed figures: retry budget, longest lease, processor share and link speed.
     void reload(const settings::Settings& settings);
     edge::Placer& placer() { return *this->placement; }
@@ -103,6 +105,7 @@
     std::shared_ptr<const fleet::Configuration> configuration;
     std::string configurationText;
     fleet::ServerMap servers;
+    fleet::Evacuations evacuations;
     VersionCallback onVersionAnnounced;
     ReceivedState receivedState;
     TimePoint lastBeaconReceived {};
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -57,6 +57,9 @@
             this->edge->setConfiguration(current);
             this->coordination->setConfiguration(current, text);
         });
+    if (settings.duration("evacuation", "bound") > Duration::zero())
+        this->configurationWatcher->setEvacuationCallback(
+            [this](const fleet::EvacuationState& state) { this->coordination->setEvacuations(state, "store"); });
     this->serverWatcher = std::make_unique<ServerWatcher>(
         this->reactor, this->store, this->events, [this](const fleet::ServerMap& listedServers) {
             for (const auto& [id, entry] : this->knownServers) {
--- a/programs/node/src/ReceivedState.cpp
+++ b/programs/node/src/ReceivedState.cpp
@@ -47,6 +47,8 @@
     if (hasConfiguration && this->callbacks.onConfiguration)
         this->callbacks.onConfiguration(
             coordination::decodeText(this->replica.contents(coordination::configurationGroup)));
+    if (changed.contains(coordination::evacuationGroup))
+        this->applyEvacuations();
     // The list of a coordinator that does not reach the store is stale. Hosts then read the store themselves, and
     // report whether they reach it.
     bool fresh = datagram.has_beacon() && datagram.beacon().store_contact_age_ms() < maxStoreContactAgeMs;
@@ -72,6 +74,18 @@
         this->callbacks.onServers(this->servers, changed);
 }
 
+void ReceivedState::applyEvacuations()
+{
+    if (!this->replica.isCurrent(coordination::evacuationGroup) || !this->callbacks.onEvacuations)
+        return;
+    auto decoded = coordination::decodeEvacuations(this->replica.contents(coordination::evacuationGroup));
+    if (succeeded(decoded))
+        this->callbacks.onEvacuations(valueOf(decoded));
+    else
+        this->events.record(timeline::Severity::Warn, "evacuations_refused",
+            { { "reason", errorOf(decoded).message }, { "remedy", errorOf(decoded).remedy } });
+}
+
 void ReceivedState::assignServers(const fleet::ServerMap& listed)
 {
     if (this->applying)
--- a/programs/node/src/ReceivedState.h
+++ b/programs/node/src/ReceivedState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/StateReplica.h"
+#include "fleet/Evacuations.h"
 #include "fleet/ServerEntry.h"
 #include "timeline/EventLog.h"
 
@@ -16,6 +17,7 @@
         //! A received or confirmed list of servers, and whether it changed.
         std::function<void(const fleet::ServerMap&, bool changed)> onServers;
         std::function<void(const std::string& text)> onConfiguration;
+        std::function<void(const fleet::EvacuationState&)> onEvacuations;
         std::function<void(const std::string& service, const std::vector<std::string>& buckets)> onOwners;
     };
 
@@ -33,6 +35,7 @@
 
 private:
     void applyServers(bool changed);
+    void applyEvacuations();
 
     timeline::EventLog& events;
     Callbacks callbacks;
