Limit the requests to cold backend servers

Change: a token bucket for each cold server at the coordinator (balance::ColdRateLimiter); a server counts as cold by its entry, when it comes back after refusing connections, and after an evacuation; hosts that place jobs on their own avoid cold servers, which the list of servers marks; the rate bounds the keys that a cold server is given. Switched on by warmup_per_s in the configuration and [cold_servers] in the settings.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,6 +41,9 @@
     //! Sets the part of each server's slots that this scheduler may fill: below 1 where several schedulers decide
     //! independently.
     void setSlotShare(double share) { this->slotShare = share; }
+    //! Sets the limits of cold servers. With `avoid`, cold servers get no jobs at all, since other schedulers may use
+    //! them at the same time.
+    void setColdLimits(const ColdLimitsByService& limits, bool avoid);
     //! Makes schedulers with different seeds prefer different servers among about equal ones. Zero: no preference.
     void setSpreadSeed(std::uint64_t seed) { this->spreadSeed = seed; }
     //! Replaces the known backend servers; servers that are missing from the map are removed.
@@ -80,6 +84,7 @@
     };
 
     Pool& poolOf(const std::string& service);
+    void applyColdLimits(ServerLoad& load, TimePoint now) const;
     std::string queueNameOf(const Job& job) const;
     void requeueAfterOwnerChange(Pool& pool, TimePoint now);
     //! Whether the server still owns the key of a job in its queue.
@@ -108,6 +113,9 @@
     std::unordered_map<JobId, std::string, JobIdHash> waiting; //!< service by job
     TimePoint lastDeadlineCheck {};
     TimePoint lastPauseEnd {}; //!< of all pauses that servers have asked for
+    ColdLimitsByService coldLimits;
+    bool avoidCold = false;
+    std::optional<TimePoint> firstServersAt; //!< jobs placed before then are not known here
     double slotShare = 1;
     std::uint64_t spreadSeed = 0;
 };
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "balance/ColdRateLimiter.h"
 #include "balance/Job.h"
 #include "fleet/ServerEntry.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace sequoia::balance {
@@ -15,6 +17,15 @@
     explicit ServerLoad(fleet::ServerEntry entry, TimePoint now);
 
     void update(const fleet::ServerEntry& entry, TimePoint now);
+    //! Sets the limits for the time while the server is cold; see ColdRateLimiter for `ownsHistory`.
+    void setColdLimits(const ColdLimits& limits, bool ownsHistory, TimePoint now);
+    //! Whether the server is cold, or may be, so that its requests are limited.
+    bool isCold(TimePoint now) const { return this->coldLimiter && now < this->coldUntil; }
+    //! Most requests per second that the server may get now; zero if they are not limited.
+    double coldRate(TimePoint now) const
+    {
+        return this->isCold(now) ? this->coldLimiter->limits().requestsPerSecond : 0;
+    }
     void setOtherHostsInFlight(unsigned count) { this->otherHostsInFlight = count; }
 
     void jobPlaced(JobId job, TimePoint now);
@@ -45,6 +56,8 @@
 
 private:
     void suspend(Duration time, TimePoint now);
+    void assumeCold(TimePoint now);
+    void updateColdUntil(TimePoint now);
     //! Weight of the measurements, which decays from 1 to 0 after the last one.
     double sampleWeight(TimePoint now) const;
 
@@ -64,6 +77,9 @@
     unsigned consecutiveFailures = 0;
     TimePoint warmUpEnd {};
     TimePoint suspendedUntil {};
+    std::optional<ColdRateLimiter> coldLimiter; //!< null if the service has no limits
+    TimePoint coldUntil {};
+    TimePoint lastAnswer {};
     TimePoint lastSample {};
     std::map<std::uint64_t, TimePoint> lastUse; //!< by host
     std::map<std::uint64_t, TimePoint> pauses; //!< by host
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -32,6 +32,8 @@
 constexpr double maxRetryAfterFraction = 1.0 / 3;
 // Waiting jobs are checked against their deadlines this often.
 constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(50);
+// A scheduler that has known the servers for this time knows all requests that count against the limits of cold ones.
+constexpr Duration historyPeriod = std::chrono::milliseconds(1500);
 // A placed job whose end is not reported is dropped this long after its deadline.
 constexpr Duration missingReportTimeout = std::chrono::milliseconds(500);
 
@@ -126,8 +128,11 @@
 void Scheduler::setServers(const fleet::ServerMap& servers, TimePoint now)
 {
     std::erase_if(this->loads, [&](const auto& entry) { return !servers.contains(entry.first); });
+    if (!this->firstServersAt)
+        this->firstServersAt = now;
     for (const auto& [id, entry] : servers) {
         auto [found, added] = this->loads.try_emplace(id, entry, now);
+        this->applyColdLimits(found->second, now);
         if (added)
             continue;
         if (found->second.entry().instance != entry.instance)
@@ -144,6 +149,24 @@
     }
 }
 
+void Scheduler::setColdLimits(const ColdLimitsByService& limits, bool avoid)
+{
+    this->coldLimits = limits;
+    this->avoidCold = avoid;
+    for (auto& [id, load] : this->loads)
+        this->applyColdLimits(load, this->firstServersAt.value_or(TimePoint()));
+}
+
+void Scheduler::applyColdLimits(ServerLoad& load, TimePoint now) const
+{
+    auto found = this->coldLimits.find(load.entry().service);
+    auto limits = found == this->coldLimits.end() ? ColdLimits {} : found->second;
+    if (this->avoidCold)
+        limits.burst = 0;
+    bool ownsHistory = this->firstServersAt && now - *this->firstServersAt > historyPeriod;
+    load.setColdLimits(limits, ownsHistory, now);
+}
+
 void Scheduler::setOtherHostsInFlight(const std::string& server, unsigned count)
 {
     auto found = this->loads.find(server);
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -26,6 +26,9 @@
 // Consecutive losses that suspend a server; a single one may be caused by the request.
 constexpr unsigned suspensionThreshold = 2;
 constexpr double maxRelativeServiceTime = 20;
+// A refused connection shows that the server is down only if it has not answered any host for this time. Otherwise the
+// network of the host that reports it may be at fault.
+constexpr Duration answerValidity = std::chrono::milliseconds(500);
 constexpr Duration slownessCacheTime = std::chrono::milliseconds(20);
 // Time constant with which the measurements decay without new answers, so that a slow or failing server is tried again.
 constexpr double decayTimeConstantMicros = 3e6;
@@ -41,16 +44,53 @@
 void ServerLoad::update(const fleet::ServerEntry& entry, TimePoint now)
 {
     if (entry.instance != this->serverEntry.instance) {
+        auto limiter = this->coldLimiter;
         *this = ServerLoad(entry, now);
+        this->coldLimiter = limiter;
+        this->updateColdUntil(now);
         return;
     }
+    bool wasDraining = this->serverEntry.state == fleet::ServerState::Draining;
     this->serverEntry = entry;
     this->warmUpEnd = std::max(this->warmUpEnd, now + entry.warmupLeft);
+    this->updateColdUntil(now);
+    // After an evacuation servers are cold, and their entries show it only with the next heartbeat.
+    if (wasDraining && entry.state == fleet::ServerState::Ready)
+        this->assumeCold(now);
+}
+
+void ServerLoad::setColdLimits(const ColdLimits& limits, bool ownsHistory, TimePoint now)
+{
+    if (limits.requestsPerSecond <= 0) {
+        this->coldLimiter.reset();
+        return;
+    }
+    if (this->coldLimiter && this->coldLimiter->limits() == limits)
+        return;
+    this->coldLimiter.emplace(limits, ownsHistory, now);
+    this->updateColdUntil(now);
+}
+
+void ServerLoad::updateColdUntil(TimePoint now)
+{
+    if (!this->coldLimiter)
+        return;
+    auto left = this->serverEntry.cold ? this->coldLimiter->limits().period : this->serverEntry.warmupLeft;
+    if (left > Duration::zero())
+        this->coldUntil = std::max(this->coldUntil, now + left);
+}
+
+void ServerLoad::assumeCold(TimePoint now)
+{
+    if (this->coldLimiter)
+        this->coldUntil = std::max(this->coldUntil, now + this->coldLimiter->limits().period);
 }
 
 void ServerLoad::jobPlaced(JobId job, TimePoint now)
 {
     this->jobs[job] = { now, this->inFlight() >= this->serverEntry.slots, false };
+    if (this->coldLimiter)
+        this->coldLimiter->recordStart(now);
 }
 
 Duration ServerLoad::serviceTime(JobId job, Duration elapsed, TimePoint now) const
@@ -83,7 +123,7 @@
         return;
     this->startQueued(now);
     if (result == JobResult::Answered || result == JobResult::ServerError)
-        this->lastUse[job.host] = now;
+        this->lastUse[job.host] = this->lastAnswer = now;
     auto addSample = [](double& value, double sample) { value += newestSampleWeight * (sample - value); };
     this->relativeServiceTime = 1 + (this->relativeServiceTime - 1) * this->sampleWeight(now);
     this->averageFailures *= this->sampleWeight(now);
@@ -111,6 +151,9 @@
         break;
     case JobResult::ConnectFailed:
         ++this->consecutiveFailures;
+        // A server that was down is cold when it is back, and its entry may be older than its restart.
+        if (now - this->lastAnswer > answerValidity)
+            this->assumeCold(now);
         this->suspend(initialSuspension * (1U << std::min(this->consecutiveFailures - 1, 6U)), now);
         break;
     case JobResult::Lost:
@@ -121,6 +164,8 @@
         break;
     case JobResult::WrongOwner:
         ++this->consecutiveFailures;
+        if (this->coldLimiter)
+            this->coldLimiter->undoStart(now);
         this->suspend(wrongOwnerSuspension * (1U << std::min(this->consecutiveFailures - 1, 6U)), now);
         break;
     case JobResult::Abandoned:
@@ -148,7 +193,8 @@
 bool ServerLoad::hasFreeSlot(unsigned extra, double share, TimePoint now) const
 {
     auto maxJobs = std::max(1.0, std::ceil((this->serverEntry.slots + extra) * share));
-    return this->isUsable(now) && this->inFlight() < static_cast<unsigned>(maxJobs);
+    bool mayStart = !this->isCold(now) || this->coldLimiter->mayStart(now);
+    return mayStart && this->isUsable(now) && this->inFlight() < static_cast<unsigned>(maxJobs);
 }
 
 double ServerLoad::slowness(Duration averageServiceTime, TimePoint now) const
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -49,6 +49,7 @@
     void setKeyLeaseOptions(const keyspace::KeyLeaseOptions& options);
     void setServers(const fleet::ServerMap& servers);
 
+    void setColdLimits(const balance::ColdLimitsByService& limits);
     //! Processes a datagram of a host.
     void receive(const wire::Datagram& datagram, const std::string& address);
     void tick();
@@ -110,6 +111,8 @@
     void applyNotice(const Host& host, const wire::ServerNotice& notice);
     void addLeavingServer(const fleet::ServerInstance& instance);
     void applyServers();
+    //! Returns whether a flag changed.
+    bool markColdServers();
     void addPlacement(const std::string& address, std::uint64_t job, const std::string& server);
     void addDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     wire::Datagram& replyTo(const std::string& address);
@@ -152,6 +155,7 @@
     std::uint64_t lastHostNumber = 0;
     bool peerStoreContact = false;
     TimePoint lastLoadUpdate {};
+    bool limitsColdServers = false;
     bool ownershipFrozen = false;
     std::vector<std::string> predecessorHosts; //!< addresses
     TimePoint predecessorHostsUntil {};
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -35,6 +35,8 @@
     void setSpreadSeed(std::uint64_t seed) { this->scheduler.setSpreadSeed(seed); }
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
+    //! Services whose cold servers get no jobs that this host places locally.
+    void setColdLimits(const balance::ColdLimitsByService& limits) { this->scheduler.setColdLimits(limits, true); }
     //! Number of hosts that share the retry budget while each of them places its jobs locally. The times after which a
     //! job is submitted again or placed locally depend on it, too.
     void setHostCount(std::uint32_t hosts);
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -95,8 +95,9 @@
     auto now = this->clock.now();
     this->servers = this->listedServers;
     this->leavingServers.apply(this->servers, now);
-    this->publisher.publish(serverGroup, encodeServers(this->servers));
     this->scheduler.setServers(this->servers, now);
+    this->markColdServers();
+    this->publisher.publish(serverGroup, encodeServers(this->servers));
     for (const auto& [server, count] : this->unmanagedJobs)
         this->scheduler.setOtherHostsInFlight(server, count);
     for (auto& [service, entry] : this->keyedServices) {
@@ -109,6 +110,29 @@
     }
 }
 
+void Coordinator::setColdLimits(const balance::ColdLimitsByService& limits)
+{
+    this->limitsColdServers = !limits.empty();
+    this->scheduler.setColdLimits(limits, false);
+}
+
+// Without this coordinator, hosts would place jobs on cold servers independently and exceed their limits.
+bool Coordinator::markColdServers()
+{
+    if (!this->limitsColdServers)
+        return false;
+    auto now = this->clock.now();
+    bool changed = false;
+    for (const auto& [id, load] : this->scheduler.servers()) {
+        auto entry = this->servers.find(id);
+        if (entry == this->servers.end() || entry->second.cold == load.isCold(now))
+            continue;
+        entry->second.cold = !entry->second.cold;
+        changed = true;
+    }
+    return changed;
+}
+
 balance::Owner Coordinator::ownerOf(std::string_view service, fleet::Key key) const
 {
     auto found = this->keyedServices.find(service);
@@ -377,8 +401,10 @@
         for (const auto& [id, load] : this->scheduler.servers()) {
             if (load.entry().service != service || load.entry().state != fleet::ServerState::Ready)
                 continue;
-            capacities[load.entry().instance]
-                = load.entry().slots * jobsPerSecondPerSlot / load.slowness(averageServiceTime, now);
+            double capacity = load.entry().slots * jobsPerSecondPerSlot / load.slowness(averageServiceTime, now);
+            if (load.isCold(now))
+                capacity = std::min(capacity, load.coldRate(now));
+            capacities[load.entry().instance] = capacity;
         }
         entry.leaseManager->setCapacities(capacities);
     }
@@ -451,6 +477,8 @@
     std::vector<OutgoingDatagram> result;
     this->stateBytesLeft = this->stateBytesPerRound;
     this->publishOwners();
+    if (this->markColdServers())
+        this->publisher.publish(serverGroup, encodeServers(this->servers));
     auto changes = encodeServerChanges(this->announcedServers, this->servers, maxAnnouncedBytes);
     this->announcedServers = this->servers;
     auto ranks = this->standbyRanks(status.ownIncarnation);
--- a/libs/coordination/src/StateEncoding.cpp
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -23,6 +23,7 @@
     row.set_data_centre(entry.dataCentre);
     row.set_slots(entry.slots);
     row.set_draining(entry.state == fleet::ServerState::Draining);
+    row.set_cold(entry.cold);
 }
 
 fleet::ServerEntry entryOf(const wire::ServerRow& row)
@@ -33,6 +34,7 @@
     entry.address = row.address();
     entry.dataCentre = row.data_centre();
     entry.slots = std::max(1U, row.slots());
+    entry.cold = row.cold();
     entry.state = row.draining() ? fleet::ServerState::Draining : fleet::ServerState::Ready;
     return entry;
 }
--- a/libs/fleet/include/fleet/ServerEntry.h
+++ b/libs/fleet/include/fleet/ServerEntry.h
@@ -35,6 +35,7 @@
     std::uint32_t slots = 1; //!< number of requests that it processes concurrently
     ServerState state = ServerState::Ready;
     Duration warmupLeft {}; //!< remaining time for which it is slow after its start
+    bool cold = false; //!< The coordinator limits its requests, so that hosts must not place jobs on it themselves.
 
     bool operator==(const ServerEntry&) const = default;
 };
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -60,6 +60,7 @@
     , store(rows)
     , lastStoreContact(std::move(contact))
     , schedulerOptions(makeSchedulerOptions(settings))
+    , coldServerBounds(makeColdServerBounds(settings))
     , keyLeaseOptions(makeKeyLeaseOptions(settings))
     , random(systemSeededEngine())
     , election(ownIncarnation, this->address, makeElectionOptions(settings), this->random)
@@ -87,6 +88,17 @@
     this->receivedState.assignConfiguration(text);
     if (this->coordinator)
         this->coordinator->setConfiguration(current, text);
+    this->applyColdLimits();
+}
+
+void CoordinationTask::applyColdLimits()
+{
+    if (!this->configuration)
+        return;
+    auto limits = makeColdLimits(this->coldServerBounds, *this->configuration);
+    this->placement->setColdLimits(limits);
+    if (this->coordinator)
+        this->coordinator->setColdLimits(limits);
 }
 
 void CoordinationTask::setServers(const fleet::ServerMap& listedServers)
@@ -104,6 +116,8 @@
 {
     this->schedulerOptions = makeSchedulerOptions(settings);
     this->keyLeaseOptions = makeKeyLeaseOptions(settings);
+    this->coldServerBounds = makeColdServerBounds(settings);
+    this->applyColdLimits();
     this->processorShare = settings.real("node", "processor_share");
     this->linkMegabits = settings.real("node", "link_megabits");
     this->election.setProcessorShare(this->processorShare);
@@ -363,6 +377,7 @@
         this->reactor.timeSource(), term, this->schedulerOptions, this->keyLeaseOptions);
     this->coordinator->setConfiguration(this->configuration, this->configurationText);
     this->coordinator->setLinkSpeed(this->linkMegabits);
+    this->applyColdLimits();
     this->coordinator->setServers(this->servers);
     this->coordinator->setPredecessorHosts(this->knownHosts);
     this->loadPlans(term);
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DatagramSender.h"
+#include "LibraryOptions.h"
 #include "ReceivedState.h"
 #include "coordination/Coordinator.h"
 #include "coordination/PlacementClient.h"
@@ -66,6 +67,7 @@
     Duration storeContactAge() const;
     void scheduleFlush();
     void flush();
+    void applyColdLimits();
     void sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages);
     void scheduleTick();
     void tick();
@@ -93,6 +95,7 @@
     store::RowStore& store;
     StoreContactCallback lastStoreContact;
     balance::SchedulerOptions schedulerOptions;
+    ColdServerBounds coldServerBounds;
     keyspace::KeyLeaseOptions keyLeaseOptions;
     RandomEngine random;
     tenure::CoordinatorElection election;
