--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -52,6 +52,7 @@
     //! Takes the keys from the servers of these data centres and sends the state to all hosts.
     void setEvacuations(const fleet::EvacuationState& state);
 
+    void setColdLimits(const balance::ColdLimitsByService& limits);
     //! Processes a datagram of a host.
     void receive(const wire::Datagram& datagram, const std::string& address);
     void tick();
@@ -114,6 +115,8 @@
     void applyNotice(const Host& host, const wire::ServerNotice& notice);
     void addLeavingServer(const fleet::ServerInstance& instance);
     void applyServers();
+    //! Returns whether a flag changed.
+    bool markColdServers();
     void addPlacement(const std::string& address, std::uint64_t job, const std::string& server);
     void addDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     wire::Datagram& replyTo(const std::string& address);
@@ -160,6 +163,7 @@
     bool peerStoreContact = false;
     TimePoint lastLoadUpdate {};
     TimePoint lastDistanceUpdate {};
+    bool limitsColdServers = false;
     bool ownershipFrozen = false;
     std::vector<std::string> predecessorHosts; //!< addresses
     TimePoint predecessorHostsUntil {};
