Cost-aware queueing for services that callers of different priority compete for

Change: planQueue() orders a queue by what can still meet its target, priority with a share for less urgent jobs, and turns of keys, and evicts what will not be served by its deadline; WorkEstimates learns the work of each route; ReturnSchedule spreads refused callers. Other services keep their order.

--- a/libs/balance/include/balance/Job.h
+++ b/libs/balance/include/balance/Job.h
@@ -42,6 +42,7 @@
     std::vector<std::string> tried; //!< backend servers on which the request has failed
     std::string dataCentre; //!< data centre of the host that sends the request
     std::uint64_t fingerprint = 0; //!< equal for requests with the same content
+    std::uint32_t workClass = 0; //!< number of the route, by which work is estimated; 0 if unknown
 };
 
 //! How a placed job ended.
--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -3,6 +3,7 @@
 #include "balance/Job.h"
 #include "balance/OwnerLookup.h"
 #include "balance/Quarantine.h"
+#include "balance/QueuePlan.h"
 #include "balance/RetryBudget.h"
 #include "balance/ServerLoad.h"
 #include "fleet/Configuration.h"
@@ -49,6 +50,8 @@
     //! Sets the one-way delay between data centres. Where it is long, jobs of services without keys stay in the data
     //! centre of their host as long as a server there is expected to answer by the target.
     void setDataCentreDistance(Duration oneWay) { this->dataCentreDistance = oneWay; }
+    //! Services for which planQueue() decides who waits and who is refused.
+    void setCostAwareServices(const std::set<std::string, std::less<>>& services);
     //! Replaces the known backend servers; servers that are missing from the map are removed.
     void setServers(const fleet::ServerMap& servers, TimePoint now);
     //! Places no job of the host on the server until the given time, as the server asked.
@@ -84,6 +87,7 @@
         std::string service;
         std::uint64_t fingerprint;
         TimePoint expiresAt;
+        std::uint32_t workClass;
     };
 
     Pool& poolOf(const std::string& service);
@@ -94,6 +98,17 @@
     bool isOwnedBy(const Pool& pool, const Job& job, const std::string& server) const;
     void dispatchQueue(Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
     void dispatch(Pool& pool, TimePoint now, std::vector<SchedulingDecision>& decisions);
+    //! Whether planQueue() decides about the jobs of a queue. Jobs whose key is moving wait for its owner.
+    bool isPlanned(const Pool& pool, const std::string& queue) const;
+    bool mayHaveFreeSlot(const Pool& pool, const std::string& queue, TimePoint now) const;
+    void recordArrival(Pool& pool, const std::string& queue, const Job& job, TimePoint now);
+    //! Places jobs of a planned queue on free slots, and refuses those that cannot be served by their deadlines.
+    void applyPlan(Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
+    QueueCapacity capacityOf(Pool& pool, const std::string& queue, TimePoint now);
+    std::optional<std::string> serverFor(
+        const Pool& pool, const std::string& queue, const Job& job, TimePoint now) const;
+    JobRefusal refusalWithReturn(Pool& pool, const std::string& queue, const Job& job, Duration wait,
+        const QueueCapacity& capacity, TimePoint now);
     double spreadFactor(const std::string& server) const;
     std::optional<std::string> chooseServer(const Pool& pool, const Job& job, TimePoint now) const;
     //! Time from which a server may get a job of this host, apart from its slots.
@@ -117,6 +132,7 @@
     TimePoint lastDeadlineCheck {};
     TimePoint lastPauseEnd {}; //!< of all pauses that servers have asked for
     Duration dataCentreDistance {};
+    std::set<std::string, std::less<>> costAwareServices;
     ColdLimitsByService coldLimits;
     bool avoidCold = false;
     std::optional<TimePoint> firstServersAt; //!< jobs placed before then are not known here
--- /dev/null
+++ b/libs/balance/src/QueuePlan.cpp
@@ -0,0 +1,142 @@
+#include "balance/QueuePlan.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace sequoia::balance {
+
+namespace {
+
+// Jobs started in a row before one that is less urgent but can meet its target: those get an eighth of the slots.
+constexpr unsigned urgentStartsInARow = 7;
+// Jobs of one key that are ordered by their targets together with those of other keys. Further ones of the key wait for
+// the other keys, so that a hot key does not take its whole server.
+constexpr std::size_t jobsPerKeyTurn = 6;
+// Part of the capacity that late jobs are expected to get even if jobs on time seem to need all of it.
+constexpr double minLateShare = 0.05;
+
+struct Candidate {
+    const Job* job = nullptr;
+    std::size_t turn = 0; //!< of the job's key
+};
+
+bool isBefore(const Candidate& left, const Candidate& right)
+{
+    return std::tie(left.job->priority, left.turn, left.job->target, left.job->id)
+        < std::tie(right.job->priority, right.turn, right.job->target, right.job->id);
+}
+
+std::vector<Candidate> sortedByPriority(const std::vector<const Job*>& waiting)
+{
+    std::vector<const Job*> byTarget = waiting;
+    std::sort(byTarget.begin(), byTarget.end(), [](const Job* left, const Job* right) {
+        return std::tie(left->target, left->id) < std::tie(right->target, right->id);
+    });
+    std::map<std::pair<std::uint32_t, fleet::Key>, std::size_t> jobsOfKey;
+    std::vector<Candidate> result;
+    result.reserve(byTarget.size());
+    for (const auto* job : byTarget) {
+        std::size_t index = job->key ? jobsOfKey[{ job->priority, *job->key }]++ : 0;
+        result.push_back({ job, index / jobsPerKeyTurn });
+    }
+    std::sort(result.begin(), result.end(), isBefore);
+    return result;
+}
+
+//! Moves a less urgent job forward after each run of more urgent ones.
+std::vector<const Job*> withShareForLessUrgent(const std::vector<Candidate>& sorted, unsigned urgentStarts)
+{
+    std::vector<const Job*> result;
+    result.reserve(sorted.size());
+    auto urgent = sorted.begin();
+    auto lessUrgent = std::find_if(sorted.begin(), sorted.end(),
+        [&](const Candidate& entry) { return entry.job->priority != sorted.front().job->priority; });
+    const auto boundary = lessUrgent;
+    while (urgent != boundary || lessUrgent != sorted.end()) {
+        bool isTurnOfLessUrgent = lessUrgent != sorted.end() && urgentStarts >= urgentStartsInARow;
+        if (urgent == boundary || isTurnOfLessUrgent) {
+            result.push_back((lessUrgent++)->job);
+            urgentStarts = 0;
+        } else {
+            result.push_back((urgent++)->job);
+            ++urgentStarts;
+        }
+    }
+    return result;
+}
+
+//! Time until the work before a job is done.
+class WorkAhead {
+public:
+    WorkAhead(const WorkEstimates& estimates, const QueueCapacity& queueCapacity)
+        : work(estimates)
+        , capacity(queueCapacity)
+    {
+        double mean = static_cast<double>(this->work.mean(0).count());
+        double running = std::min(this->capacity.inFlight, this->capacity.slots);
+        // Running jobs have half of their work left on average.
+        this->micros = mean * (running / 2 + this->capacity.inFlight - running);
+        this->count = this->capacity.inFlight;
+    }
+
+    //! Wait of the next job if it gets `share` of the capacity.
+    Duration wait(double share) const
+    {
+        if (this->count < this->capacity.slots)
+            return {};
+        double slots = std::max(this->capacity.slots, minSlots) * share;
+        return Duration(static_cast<std::int64_t>(this->capacity.slowness * this->micros / slots));
+    }
+    Duration onServer(Duration time) const
+    {
+        return Duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * this->capacity.slowness));
+    }
+    void add(const Job& job)
+    {
+        this->micros += static_cast<double>(this->work.mean(job.workClass).count());
+        this->count += 1;
+    }
+
+private:
+    // A queue whose servers are all suspended has no slots; its jobs wait for one.
+    static constexpr double minSlots = 1;
+
+    const WorkEstimates& work;
+    const QueueCapacity& capacity;
+    double micros = 0;
+    double count = 0;
+};
+
+}
+
+QueuePlan planQueue(
+    const std::vector<const Job*>& waiting, const WorkEstimates& work, const QueueCapacity& capacity, TimePoint now)
+{
+    QueuePlan plan;
+    auto sorted = sortedByPriority(waiting);
+    std::vector<const Job*> late;
+    WorkAhead ahead(work, capacity);
+    for (const auto* job : withShareForLessUrgent(sorted, capacity.urgentStarts)) {
+        if (now + ahead.wait(1) + ahead.onServer(work.likely(job->workClass)) > job->target) {
+            late.push_back(job);
+            continue;
+        }
+        plan.order.push_back(job);
+        ahead.add(*job);
+    }
+    plan.firstPassesUrgentOnes = !plan.order.empty() && plan.order.front()->priority != sorted.front().job->priority;
+    double lateShare = std::clamp(1 - capacity.onTimeLoad, minLateShare, 1.0);
+    for (const auto* job : late) {
+        auto wait = ahead.wait(lateShare);
+        if (now + wait + ahead.onServer(work.mean(job->workClass)) > job->deadline) {
+            plan.evictions.push_back({ job->id, wait });
+            continue;
+        }
+        plan.order.push_back(job);
+        ahead.add(*job);
+    }
+    return plan;
+}
+
+}
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -1,4 +1,4 @@
-#include "balance/Scheduler.h"
+#include "SchedulerPool.h"
 
 #include <algorithm>
 #include <cassert>
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Assumed average until the first answers of a service arrive.
-constexpr Duration initialServiceTime = std::chrono::milliseconds(150);
 // Weight of the newest answer in the moving average of the service time, which reflects about fifty answers.
 constexpr double newestSampleWeight = 0.02;
 // Jobs that a server gets beyond its slots, so that it can start the next one without a round trip.
@@ -45,60 +43,8 @@
 constexpr std::size_t jobsRequeuedAtOnce = 100;
 constexpr Duration requeueInterval = std::chrono::milliseconds(20);
 
-const std::string queueWithoutOwner;
-
 }
 
-//! Waiting jobs, servers and measurements of one service.
-struct Scheduler::Pool {
-    struct Rank {
-        std::uint32_t priority;
-        TimePoint target;
-        JobId id;
-
-        bool operator<(const Rank& other) const
-        {
-            return std::tie(this->priority, this->target, this->id) < std::tie(other.priority, other.target, other.id);
-        }
-    };
-    using Queue = std::map<Rank, Job>;
-
-    std::string service;
-    bool keyed = false;
-    //! By owner for keyed services; jobs whose key is moving and jobs of unkeyed services are in queueWithoutOwner.
-    std::map<std::string, Queue> queues;
-    std::uint64_t ownerVersion = 0; //!< for which the jobs were queued
-    TimePoint requeuedAt {};
-    std::vector<ServerLoad*> members;
-    //! Jobs that all servers together finish per average service time; cached, since every arrival needs it.
-    double effectiveSlots = 0;
-    TimePoint effectiveSlotsTime {};
-    double averageServiceMicros = static_cast<double>(initialServiceTime.count());
-    RetryBudget budget;
-
-    Pool(std::string name, const SchedulerOptions& options)
-        : service(std::move(name))
-        , budget(options.retryWindow, options.retryRatio, options.retrySlack)
-    {
-    }
-
-    Duration averageServiceTime() const { return Duration(static_cast<std::int64_t>(this->averageServiceMicros)); }
-    static Rank rankOf(const Job& job) { return { job.priority, job.target, job.id }; }
-
-    //! Number of jobs that are placed before the one of this rank: jobs that meet their targets go before late ones.
-    static std::size_t countAhead(const Queue& queue, const Rank& rank, TimePoint finish)
-    {
-        bool late = rank.target < finish;
-        std::size_t ahead = 0;
-        for (const auto& [other, job] : queue) {
-            bool otherLate = other.target < finish;
-            if (late != otherLate ? late : other < rank)
-                ++ahead;
-        }
-        return ahead;
-    }
-};
-
 Scheduler::Scheduler(SchedulerOptions schedulerOptions, const OwnerLookup& lookup)
     : options(schedulerOptions)
     , owners(lookup)
@@ -121,6 +67,7 @@
     auto& pool = this->pools[service];
     if (!pool) {
         pool = std::make_unique<Pool>(service, this->options);
+        pool->costAware = this->costAwareServices.contains(service);
         for (auto& [id, load] : this->loads) {
             if (load.entry().service == service)
                 pool->members.push_back(&load);
@@ -144,6 +91,8 @@
         found->second.update(entry, now);
     }
     for (auto& [service, pool] : this->pools) {
+        std::erase_if(pool->states,
+            [&](const auto& entry) { return entry.first != queueWithoutOwner && !servers.contains(entry.first); });
         pool->members.clear();
         pool->effectiveSlotsTime = {};
         for (auto& [id, load] : this->loads) {
@@ -255,6 +204,11 @@
     auto rank = Pool::rankOf(job);
     auto position = queue.emplace(rank, job).first;
     this->waiting[job.id] = job.service;
+    if (this->isPlanned(pool, name)) {
+        this->recordArrival(pool, name, job, now);
+        this->applyPlan(pool, name, now, decisions);
+        return decisions;
+    }
     this->dispatchQueue(pool, name, now, decisions);
     // A job that is still waiting is refused at once if it cannot meet its deadline.
     position = queue.find(rank);
@@ -296,8 +250,11 @@
         if (result == JobResult::Answered) {
             double sample = static_cast<double>(elapsed.count());
             pool.averageServiceMicros += newestSampleWeight * (sample - pool.averageServiceMicros);
+            if (pool.costAware)
+                pool.work.record(placement.workClass, elapsed);
         }
-        load->second.jobEnded(job, result, elapsed, pool.averageServiceTime(), now);
+        auto average = pool.costAware ? pool.work.mean(placement.workClass) : pool.averageServiceTime();
+        load->second.jobEnded(job, result, elapsed, average, now);
     }
     if (result == JobResult::Lost)
         this->quarantine.recordLoss(placement.fingerprint, placement.server, now);
@@ -320,6 +277,10 @@
     this->quarantine.removeExpired(now);
     for (auto& [service, pool] : this->pools) {
         for (auto& [name, queue] : pool->queues) {
+            if (this->isPlanned(*pool, name)) {
+                this->applyPlan(*pool, name, now, decisions);
+                continue;
+            }
             auto finish = now + pool->averageServiceTime();
             auto onTime = static_cast<std::size_t>(std::count_if(
                 queue.begin(), queue.end(), [&](const auto& entry) { return entry.first.target >= finish; }));
@@ -386,6 +347,11 @@
     auto found = pool.queues.find(name);
     if (found == pool.queues.end() || found->second.empty())
         return;
+    if (this->isPlanned(pool, name)) {
+        if (this->mayHaveFreeSlot(pool, name, now))
+            this->applyPlan(pool, name, now, decisions);
+        return;
+    }
     auto& queue = found->second;
     auto finish = now + pool.averageServiceTime();
     // Jobs that can still meet their target go first; late ones get the remaining slots.
@@ -555,7 +521,8 @@
     Pool& pool, const Job& job, const std::string& server, TimePoint now, std::vector<SchedulingDecision>& decisions)
 {
     this->loads.at(server).jobPlaced(job.id, now);
-    this->placements[job.id] = { server, pool.service, job.fingerprint, job.deadline + missingReportTimeout };
+    this->placements[job.id]
+        = { server, pool.service, job.fingerprint, job.deadline + missingReportTimeout, job.workClass };
     decisions.emplace_back(JobPlacement { job.id, server });
 }
 
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -82,6 +82,8 @@
 void Coordinator::setConfiguration(std::shared_ptr<const fleet::Configuration> current, const std::string& text)
 {
     this->configuration = std::move(current);
+    if (this->configuration)
+        this->scheduler.setCostAwareServices(this->configuration->servicesWithCompetingPriorities());
     this->publisher.publish(configurationGroup, encodeText(text));
 }
 
--- a/libs/coordination/src/JobMessages.cpp
+++ b/libs/coordination/src/JobMessages.cpp
@@ -22,6 +22,7 @@
     message.set_attempt(job.attempt);
     message.set_max_attempts(job.maxAttempts);
     message.set_fingerprint(job.fingerprint);
+    message.set_work_class(job.workClass);
     for (const auto& server : job.tried)
         message.add_tried(server);
 }
@@ -60,6 +61,7 @@
     job.attempt = message.attempt();
     job.maxAttempts = message.max_attempts();
     job.fingerprint = message.fingerprint();
+    job.workClass = message.work_class();
     job.tried.assign(message.tried().begin(), message.tried().end());
     return job;
 }
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -191,6 +191,8 @@
     request.maxAttempts = this->route->maxAttempts;
     request.tried = this->tried;
     request.fingerprint = this->fingerprint;
+    if (this->configuration->hasCompetingPriorities(this->service))
+        request.workClass = this->route->number;
     this->job = request.id.number;
     this->placed = false;
     this->sent = false;
--- a/libs/fleet/include/fleet/Configuration.h
+++ b/libs/fleet/include/fleet/Configuration.h
@@ -42,6 +42,7 @@
     std::uint32_t priority = 0; //!< 0 is the highest priority
     std::uint32_t maxAttempts = 1; //!< maximum number of backend servers that one request is sent to
     std::vector<WeightedService> targets; //!< never empty
+    std::uint32_t number = 0; //!< hash of the name, equal on all hosts; set by Configuration::addRoute()
 };
 
 //! Configured properties of a service.
@@ -79,6 +80,7 @@
     //! Whether routes of different priority send most of their requests to the service, so that their callers compete
     //! for its servers.
     bool hasCompetingPriorities(std::string_view service) const;
+    std::set<std::string, std::less<>> servicesWithCompetingPriorities() const;
 
 private:
     //! Routes by HTTP host and path prefix, so that match() needs one lookup per slash in the path.
--- a/libs/fleet/src/Configuration.cpp
+++ b/libs/fleet/src/Configuration.cpp
@@ -1,11 +1,21 @@
 #include "fleet/Configuration.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace sequoia::fleet {
 
 namespace {
 
+//! FNV-1a hash, never zero.
+std::uint32_t numberOf(const std::string& name)
+{
+    std::uint32_t hash = 2'166'136'261U;
+    for (unsigned char byte : name)
+        hash = (hash ^ byte) * 16'777'619U;
+    return std::max(1U, hash);
+}
+
 //! Service that gets at least half of the requests of a route; empty if there is none.
 std::string mainServiceOf(const Route& route)
 {
@@ -24,6 +34,7 @@
 void Configuration::addRoute(Route route)
 {
     assert(!route.targets.empty());
+    route.number = numberOf(route.name);
     this->prioritiesOfService[mainServiceOf(route)].insert(route.priority);
     auto& routes = this->routesOfHost[route.host];
     auto prefix = route.prefix;
@@ -59,4 +70,14 @@
     return !name.empty() && found != this->prioritiesOfService.end() && found->second.size() > 1;
 }
 
+std::set<std::string, std::less<>> Configuration::servicesWithCompetingPriorities() const
+{
+    std::set<std::string, std::less<>> result;
+    for (const auto& [name, priorities] : this->prioritiesOfService) {
+        if (this->hasCompetingPriorities(name))
+            result.insert(name);
+    }
+    return result;
+}
+
 }
