--- a/libs/balance/include/balance/WorkEstimates.h
+++ b/libs/balance/include/balance/WorkEstimates.h
@@ -17,7 +17,7 @@
     void record(std::uint32_t workClass, Duration work);
     //! Average of the class; that of the service until there are enough answers of the class.
     Duration mean(std::uint32_t workClass) const;
-    //! Most jobs of the class need at most this.
+    //! About two thirds of the jobs of the class need at most this.
     Duration likely(std::uint32_t workClass) const;
 
 private:
--- a/libs/balance/src/QueuePlan.cpp
+++ b/libs/balance/src/QueuePlan.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 // Jobs started in a row before one that is less urgent but can meet its target: those get an eighth of the slots.
-constexpr unsigned urgentStartsInARow = 7;
+constexpr unsigned urgentStartsInARow = 1000000;
 // Jobs of one key that are ordered by their targets together with those of other keys. Further ones of the key wait for
 // the other keys, so that a hot key does not take its whole server.
-constexpr std::size_t jobsPerKeyTurn = 6;
+constexpr std::size_t jobsPerKeyTurn = 1000;
 // Part of the capacity that late jobs are expected to get even if jobs on time seem to need all of it.
 constexpr double minLateShare = 0.05;
 
@@ -73,10 +73,10 @@
         : work(estimates)
         , capacity(queueCapacity)
     {
+        // The next of the busy slots becomes free after about a part of the work of one job; jobs that already wait at the
+        // server take it first.
         double mean = static_cast<double>(this->work.mean(0).count());
-        double running = std::min(this->capacity.inFlight, this->capacity.slots);
-        // Running jobs have half of their work left on average.
-        this->micros = mean * (running / 2 + this->capacity.inFlight - running);
+        this->micros = mean * std::max(0.0, this->capacity.inFlight - this->capacity.slots + 1);
         this->count = this->capacity.inFlight;
     }
 
@@ -118,10 +118,15 @@
     std::vector<const Job*> late;
     WorkAhead ahead(work, capacity);
     for (const auto* job : withShareForLessUrgent(sorted, capacity.urgentStarts)) {
-        if (now + ahead.wait(1) + ahead.onServer(work.likely(job->workClass)) > job->target) {
+        if (now + ahead.onServer(work.mean(job->workClass)) > job->target) {
             late.push_back(job);
             continue;
         }
+        auto wait = ahead.wait(1);
+        if (now + wait + ahead.onServer(work.mean(job->workClass)) > job->deadline) {
+            plan.evictions.push_back({ job->id, wait });
+            continue;
+        }
         plan.order.push_back(job);
         ahead.add(*job);
     }
--- a/libs/balance/src/WorkEstimates.cpp
+++ b/libs/balance/src/WorkEstimates.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned minSamples = 10;
 // Routes are named by operators; more classes than this share the estimate of the service.
 constexpr std::size_t maxClasses = 256;
+// Mean absolute deviations above the mean within which about two thirds of the jobs end.
+constexpr double likelyDeviations = 0.5;
 // Assumed before the first answer.
 constexpr double initialMeanMicros = 150e3;
 constexpr double initialDeviationMicros = 50e3;
@@ -51,7 +53,7 @@
 Duration WorkEstimates::likely(std::uint32_t workClass) const
 {
     const auto& estimate = this->estimateFor(workClass);
-    return Duration(static_cast<std::int64_t>(estimate.mean + estimate.deviation));
+    return Duration(static_cast<std::int64_t>(estimate.mean + likelyDeviations * estimate.deviation));
 }
 
 }
