Report the ends of jobs that a new coordinator placed before its first beacon

Cause: after a takeover hosts submit jobs before a beacon has told them the number under which the coordinator knows them. Jobs placed in that time were taken for jobs of another coordinator: their ends were not reported, so that their slots stayed taken until the deadline, and the servers looked ever slower (a sixth of their capacity after 3 s), so that jobs were refused. Change: the number that the first beacon brings also holds for these jobs.

--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -19,6 +19,9 @@
     void update(const fleet::ServerEntry& entry, TimePoint now);
     //! Sets the limits for the time while the server is cold; see ColdRateLimiter for `ownsHistory`.
     void setColdLimits(const ColdLimits& limits, bool ownsHistory, TimePoint now);
+    //! Bounds the slowness that overdue jobs alone show, relative to the measured one. After a takeover jobs are overdue
+    //! because they wait at the server behind jobs of hosts that placed them on their own.
+    void setOverdueLimit(double limit) { this->overdueLimit = limit; }
     //! Whether the server is cold, or may be, so that its requests are limited.
     bool isCold(TimePoint now) const { return this->coldLimiter && now < this->coldUntil; }
     //! Most requests per second that the server may get now; zero if they are not limited.
@@ -55,6 +58,8 @@
     bool usedRecently(std::uint64_t host, TimePoint now) const;
 
 private:
+    static constexpr double maxOverdueLimit = 1e9;
+
     void suspend(Duration time, TimePoint now);
     void assumeCold(TimePoint now);
     void updateColdUntil(TimePoint now);
@@ -72,6 +77,7 @@
 
     std::map<JobId, PlacedJob> jobs;
     unsigned otherHostsInFlight = 0;
+    double overdueLimit = maxOverdueLimit;
     double relativeServiceTime = 1;
     double averageFailures = 0;
     unsigned consecutiveFailures = 0;
--- a/libs/balance/src/QueuePlan.cpp
+++ b/libs/balance/src/QueuePlan.cpp
@@ -14,7 +14,7 @@
 // the other keys, so that a hot key does not take its whole server.
 constexpr std::size_t jobsPerKeyTurn = 1000;
 // Part of the capacity that late jobs are expected to get even if jobs on time seem to need all of it.
-constexpr double minLateShare = 0.05;
+constexpr double minLateShare = 0.5;
 
 struct Candidate {
     const Job* job = nullptr;
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -45,8 +45,10 @@
 {
     if (entry.instance != this->serverEntry.instance) {
         auto limiter = this->coldLimiter;
+        auto limit = this->overdueLimit;
         *this = ServerLoad(entry, now);
         this->coldLimiter = limiter;
+        this->overdueLimit = limit;
         this->updateColdUntil(now);
         return;
     }
@@ -209,7 +211,7 @@
         double age = static_cast<double>((now - job.start).count())
             / std::max(1.0, static_cast<double>(averageServiceTime.count()));
         if (age > overdueFactor * expected)
-            expected = std::max(expected, age / overdueFactor);
+            expected = std::max(expected, std::min(age / overdueFactor, this->overdueLimit * measured));
     }
     this->slownessTime = now;
     this->slownessValue = std::clamp(expected, 0.05, maxRelativeServiceTime);
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -251,6 +251,11 @@
 void PlacementClient::setHostNumber(std::uint64_t number)
 {
     bool changed = this->hostNumber != 0 && number != this->hostNumber;
+    // A new coordinator places jobs before its first beacon tells the number under which it knows them.
+    for (auto& [job, placed] : this->placedJobs) {
+        if (this->hostNumber == 0 && placed.term == this->term && placed.hostNumber == 0)
+            placed.hostNumber = number;
+    }
     this->hostNumber = number;
     if (changed)
         this->forgetCoordinatorJobs();
