Tell a coordinator the running jobs with the first submissions; drop turns of keys

Cause: a coordinator that has started, or has forgotten a host, gets submissions before the next report and takes the slots of running jobs for free. A test of such a host passed only because jobs placed before the host knew its number were always counted as jobs of others. Change: UnmanagedLoads in the datagram of the first submissions. Less urgent jobs keep an eighth of the slots.

--- a/libs/balance/include/balance/QueuePlan.h
+++ b/libs/balance/include/balance/QueuePlan.h
@@ -32,11 +32,10 @@
 
 //! Decides which jobs wait, in which order, and which are refused when a queue has too little room.
 //!
-//! Answers overload by bursts, hot keys and slow servers. Jobs that can meet their targets go before late ones; among
-//! them the more urgent ones, with a share for the others; among equally urgent ones each key gets its turn, then the
-//! earliest target counts. A job is expected to meet its target only if the work before it and its own likely work
-//! leave time, so that no slot goes to a job that becomes late while another one could still meet its target. Late jobs
-//! get what the jobs that arrive on time leave over.
+//! Answers overload by bursts, hot keys and slow servers. Jobs that can still meet their targets go before late ones;
+//! among them the more urgent ones, with a share for the others, then those with the earliest target. Late jobs get
+//! what the jobs that arrive on time leave over. A job whose expected wait and work end after its deadline is evicted
+//! at once.
 QueuePlan planQueue(
     const std::vector<const Job*>& waiting, const WorkEstimates& work, const QueueCapacity& capacity, TimePoint now);
 
--- a/libs/balance/src/QueuePlan.cpp
+++ b/libs/balance/src/QueuePlan.cpp
@@ -1,7 +1,6 @@
 #include "balance/QueuePlan.h"
 
 #include <algorithm>
-#include <map>
 #include <tuple>
 
 namespace sequoia::balance {
@@ -9,57 +8,34 @@
 namespace {
 
 // Jobs started in a row before one that is less urgent but can meet its target: those get an eighth of the slots.
-constexpr unsigned urgentStartsInARow = 1000000;
-// Jobs of one key that are ordered by their targets together with those of other keys. Further ones of the key wait for
-// the other keys, so that a hot key does not take its whole server.
-constexpr std::size_t jobsPerKeyTurn = 1000;
+constexpr unsigned urgentStartsInARow = 7;
 // Part of the capacity that late jobs are expected to get even if jobs on time seem to need all of it.
 constexpr double minLateShare = 0.5;
 
-struct Candidate {
-    const Job* job = nullptr;
-    std::size_t turn = 0; //!< of the job's key
-};
-
-bool isBefore(const Candidate& left, const Candidate& right)
+std::vector<const Job*> sortedByPriority(std::vector<const Job*> waiting)
 {
-    return std::tie(left.job->priority, left.turn, left.job->target, left.job->id)
-        < std::tie(right.job->priority, right.turn, right.job->target, right.job->id);
-}
-
-std::vector<Candidate> sortedByPriority(const std::vector<const Job*>& waiting)
-{
-    std::vector<const Job*> byTarget = waiting;
-    std::sort(byTarget.begin(), byTarget.end(), [](const Job* left, const Job* right) {
-        return std::tie(left->target, left->id) < std::tie(right->target, right->id);
+    std::sort(waiting.begin(), waiting.end(), [](const Job* left, const Job* right) {
+        return std::tie(left->priority, left->target, left->id) < std::tie(right->priority, right->target, right->id);
     });
-    std::map<std::pair<std::uint32_t, fleet::Key>, std::size_t> jobsOfKey;
-    std::vector<Candidate> result;
-    result.reserve(byTarget.size());
-    for (const auto* job : byTarget) {
-        std::size_t index = job->key ? jobsOfKey[{ job->priority, *job->key }]++ : 0;
-        result.push_back({ job, index / jobsPerKeyTurn });
-    }
-    std::sort(result.begin(), result.end(), isBefore);
-    return result;
+    return waiting;
 }
 
 //! Moves a less urgent job forward after each run of more urgent ones.
-std::vector<const Job*> withShareForLessUrgent(const std::vector<Candidate>& sorted, unsigned urgentStarts)
+std::vector<const Job*> withShareForLessUrgent(const std::vector<const Job*>& sorted, unsigned urgentStarts)
 {
     std::vector<const Job*> result;
     result.reserve(sorted.size());
     auto urgent = sorted.begin();
-    auto lessUrgent = std::find_if(sorted.begin(), sorted.end(),
-        [&](const Candidate& entry) { return entry.job->priority != sorted.front().job->priority; });
+    auto lessUrgent = std::find_if(
+        sorted.begin(), sorted.end(), [&](const Job* job) { return job->priority != sorted.front()->priority; });
     const auto boundary = lessUrgent;
     while (urgent != boundary || lessUrgent != sorted.end()) {
         bool isTurnOfLessUrgent = lessUrgent != sorted.end() && urgentStarts >= urgentStartsInARow;
         if (urgent == boundary || isTurnOfLessUrgent) {
-            result.push_back((lessUrgent++)->job);
+            result.push_back(*lessUrgent++);
             urgentStarts = 0;
         } else {
-            result.push_back((urgent++)->job);
+            result.push_back(*urgent++);
             ++urgentStarts;
         }
     }
@@ -73,8 +49,8 @@
         : work(estimates)
         , capacity(queueCapacity)
     {
-        // The next of the busy slots becomes free after about a part of the work of one job; jobs that already wait at the
-        // server take it first.
+        // The next of the busy slots becomes free after about a part of the work of one job; jobs that already wait at
+        // the server take it first.
         double mean = static_cast<double>(this->work.mean(0).count());
         this->micros = mean * std::max(0.0, this->capacity.inFlight - this->capacity.slots + 1);
         this->count = this->capacity.inFlight;
@@ -130,7 +106,7 @@
         plan.order.push_back(job);
         ahead.add(*job);
     }
-    plan.firstPassesUrgentOnes = !plan.order.empty() && plan.order.front()->priority != sorted.front().job->priority;
+    plan.firstPassesUrgentOnes = !plan.order.empty() && plan.order.front()->priority != sorted.front()->priority;
     double lateShare = std::clamp(1 - capacity.onTimeLoad, minLateShare, 1.0);
     for (const auto* job : late) {
         auto wait = ahead.wait(lateShare);
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -88,6 +88,8 @@
     bool isEvacuated(const std::string& server) const;
     void declinePlacement(PendingJob& entry, const fleet::ServerInstance& server);
     void forgetCoordinatorJobs();
+    //! Numbers of running jobs by server that the coordinator of this term has not placed itself.
+    std::map<std::string, std::uint32_t> unmanagedJobs() const;
     void handWaitingJobsOver();
     wire::ServerNotice noticeOf(const fleet::ServerInstance& server) const;
     fleet::ServerInstance instanceOf(const std::string& server) const;
@@ -119,6 +121,7 @@
     };
     std::map<std::uint64_t, PlacedJob> placedJobs;
     std::uint64_t term = 0;
+    bool mustSendLoads = false; //!< the coordinator does not know the jobs that run
     wire::Datagram outgoing;
     bool hasOutgoing = false;
     TimePoint lastDatagramAt {};
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -47,6 +47,18 @@
 
 }
 
+namespace {
+
+template <typename Loads> std::map<std::string, unsigned> inFlightByServer(const Loads& loads)
+{
+    std::map<std::string, unsigned> result;
+    for (const auto& load : loads)
+        result[load.server()] += load.in_flight();
+    return result;
+}
+
+}
+
 Coordinator::Coordinator(const Clock& clockSource, std::uint64_t term, balance::SchedulerOptions schedulerOptions,
     keyspace::KeyLeaseOptions leaseOptions)
     : clock(clockSource)
@@ -200,6 +212,8 @@
     auto& host = this->findOrAddHost(datagram.sender(), address);
     if (datagram.has_report())
         this->applyReport(host, datagram.report());
+    if (datagram.has_unmanaged_loads())
+        this->setUnmanagedJobs(host, inFlightByServer(datagram.unmanaged_loads().loads()));
     for (const auto& notice : datagram.notices())
         this->applyNotice(host, notice);
     for (const auto& end : datagram.ends()) {
@@ -304,10 +318,7 @@
 
 void Coordinator::applyReport(Host& host, const wire::Report& report)
 {
-    std::map<std::string, unsigned> inFlight;
-    for (const auto& load : report.loads())
-        inFlight[load.server()] += load.in_flight();
-    this->setUnmanagedJobs(host, std::move(inFlight));
+    this->setUnmanagedJobs(host, inFlightByServer(report.loads()));
     host.processorShare = report.strength();
     host.dataCentre = report.data_centre();
     host.roundTripTime = Duration(report.round_trip_us());
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -265,6 +265,7 @@
 {
     this->roundTripTime.clear();
     this->recentJobEnds.clear();
+    this->mustSendLoads = true;
     this->resubmitAll();
 }
 
@@ -434,6 +435,13 @@
     this->hasOutgoing = false;
     datagram.Swap(&this->outgoing);
     this->outgoing.Clear();
+    if (std::exchange(this->mustSendLoads, false)) {
+        for (const auto& [server, count] : this->unmanagedJobs()) {
+            auto* load = datagram.mutable_unmanaged_loads()->add_loads();
+            load->set_server(server);
+            load->set_in_flight(count);
+        }
+    }
     auto now = this->clock.now();
     while (!this->recentJobEnds.empty()
         && (now - this->recentJobEnds.front().first > jobEndRepeatPeriod && this->recentJobEnds.size() > 1))
@@ -449,17 +457,21 @@
     return true;
 }
 
-void PlacementClient::fillReport(wire::Report& report) const
+std::map<std::string, std::uint32_t> PlacementClient::unmanagedJobs() const
 {
-    report.set_round_trip_us(static_cast<std::uint32_t>(
-        std::min<std::int64_t>(this->roundTripTime.shortest(this->clock.now()).count(), maxReportedRoundTripMicros)));
-    // Counts the jobs that the coordinator of this term has not placed itself.
     std::map<std::string, std::uint32_t> inFlight;
     for (const auto& [number, job] : this->placedJobs) {
         if (job.term != this->term || job.term == 0 || job.hostNumber != this->hostNumber)
             ++inFlight[job.server.id];
     }
-    for (const auto& [server, count] : inFlight) {
+    return inFlight;
+}
+
+void PlacementClient::fillReport(wire::Report& report) const
+{
+    report.set_round_trip_us(static_cast<std::uint32_t>(
+        std::min<std::int64_t>(this->roundTripTime.shortest(this->clock.now()).count(), maxReportedRoundTripMicros)));
+    for (const auto& [server, count] : this->unmanagedJobs()) {
         auto* entry = report.add_loads();
         entry->set_server(server);
         entry->set_in_flight(count);
