--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -53,6 +53,8 @@
     void setServers(const fleet::ServerMap& servers, TimePoint now);
     //! Places no job of the host on the server until the given time, as the server asked.
     void pauseServer(const std::string& server, std::uint64_t host, TimePoint until);
+    //! Services whose servers may all not be used. Their jobs are refused at once, those that wait with the next tick.
+    void setUnservedServices(std::set<std::string> services) { this->unservedServices = std::move(services); }
     //! Sets the number of jobs at a server that hosts have placed independently.
     void setOtherHostsInFlight(const std::string& server, unsigned count);
 
@@ -120,6 +122,7 @@
     ColdLimitsByService coldLimits;
     bool avoidCold = false;
     std::optional<TimePoint> firstServersAt; //!< jobs placed before then are not known here
+    std::set<std::string> unservedServices;
     double slotShare = 1;
     std::uint64_t spreadSeed = 0;
 };
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -224,6 +224,8 @@
         = Duration(static_cast<std::int64_t>(static_cast<double>(timeLeft.count()) * maxRetryAfterFraction));
     if (this->quarantine.isQuarantined(job.fingerprint))
         return JobRefusal { job.id, RefusalReason::Quarantined, maxRetryAfter };
+    if (this->unservedServices.contains(job.service))
+        return JobRefusal { job.id, RefusalReason::NoServer, maxRetryAfter };
     if (job.attempt == 0)
         pool.budget.recordRequest(now);
     else if (!pool.budget.tryAcquire(now, this->options.retryShare))
@@ -524,6 +526,11 @@
 std::optional<JobRefusal> Scheduler::waitRefusal(
     Pool& pool, const std::string& name, const Job& job, std::size_t ahead, TimePoint now) const
 {
+    double maxRetryAfterMicros
+        = static_cast<double>(std::max(Duration::zero(), job.deadline - now).count()) * maxRetryAfterFraction;
+    if (this->unservedServices.contains(pool.service))
+        return JobRefusal { job.id, RefusalReason::NoServer,
+            std::max(minRetryAfter, Duration(static_cast<std::int64_t>(maxRetryAfterMicros))) };
     double averageMicros = pool.averageServiceMicros;
     double slots = this->capacity(pool, name, now);
     double serviceMicros = averageMicros;
@@ -544,8 +551,6 @@
     auto finish = now + Duration(static_cast<std::int64_t>(waitMicros + serviceMicros * minRemainingServiceTimes));
     if (finish <= job.deadline)
         return std::nullopt;
-    double maxRetryAfterMicros
-        = static_cast<double>(std::max(Duration::zero(), job.deadline - now).count()) * maxRetryAfterFraction;
     double retryAfterMicros = std::clamp(waitMicros, static_cast<double>(minRetryAfter.count()),
         std::max(maxRetryAfterMicros, static_cast<double>(minRetryAfter.count())));
     return JobRefusal { job.id, RefusalReason::Overloaded, Duration(static_cast<std::int64_t>(retryAfterMicros)) };
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -38,6 +38,8 @@
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
     void setEvacuations(const fleet::EvacuationState& state);
+    //! Submits the jobs that wait at this host to the coordinator, which may have become able to place them.
+    void handWaitingJobsOver();
     //! Services whose cold servers get no jobs that this host places locally.
     void setColdLimits(const balance::ColdLimitsByService& limits) { this->scheduler.setColdLimits(limits, true); }
     //! Number of hosts that share the retry budget while each of them places its jobs locally. The times after which a
@@ -88,7 +90,6 @@
     bool isEvacuated(const std::string& server) const;
     void declinePlacement(PendingJob& entry, const fleet::ServerInstance& server);
     void forgetCoordinatorJobs();
-    void handWaitingJobsOver();
     wire::ServerNotice noticeOf(const fleet::ServerInstance& server) const;
     fleet::ServerInstance instanceOf(const std::string& server) const;
     void applyServers();
--- a/libs/coordination/include/coordination/StateReplica.h
+++ b/libs/coordination/include/coordination/StateReplica.h
@@ -3,6 +3,7 @@
 #include "coordination/StateBuckets.h"
 
 #include <map>
+#include <optional>
 #include <peer.pb.h>
 #include <set>
 #include <string>
@@ -20,6 +21,8 @@
     void assign(const std::string& group, std::vector<std::string> buckets);
     //! Whether the group has the digest that the coordinator announced last.
     bool isCurrent(const std::string& group) const;
+    //! Returns whether the group has become current with another content than at the last such call that returned true.
+    bool takeChange(const std::string& group);
     //! Content of a group; empty if there is none.
     const std::vector<std::string>& contents(const std::string& group) const;
     //! Asks for the buckets of all groups that differ; for owners of keys, which change often and are needed only
@@ -32,6 +35,7 @@
         std::vector<std::uint64_t> sequences; //!< of the datagram that brought each bucket
         std::uint64_t announcedDigest = 0;
         bool announced = false;
+        std::optional<std::uint64_t> takenDigest;
     };
 
     void applyBucket(const wire::StateBucket& bucket, std::uint64_t sequence, std::set<std::string>& changed);
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -99,6 +99,7 @@
     auto usableServers = this->servers;
     this->evacuations.apply(usableServers);
     this->scheduler.setServers(usableServers, now);
+    this->scheduler.setUnservedServices(this->evacuations.servicesWithoutServers(this->servers));
     this->markColdServers();
     // Hosts apply the evacuations themselves: a server that is listed as draining stays so until it starts anew.
     this->publisher.publish(serverGroup, encodeServers(this->servers));
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -193,6 +193,7 @@
     auto now = this->clock.now();
     this->servers = this->listedServers;
     this->leavingServers.apply(this->servers, now);
+    this->scheduler.setUnservedServices(this->evacuations.servicesWithoutServers(this->servers));
     this->evacuations.apply(this->servers);
     this->scheduler.setServers(this->servers, now);
 }
@@ -224,22 +225,27 @@
 {
     this->lastCoordinatorContact = this->clock.now();
     bool wasActive = std::exchange(this->coordinatorActive, true);
-    if (newTerm != this->term) {
+    bool isNewTerm = newTerm != this->term;
+    if (isNewTerm) {
         this->term = newTerm;
         this->hostNumber = 0;
         this->forgetCoordinatorJobs();
     }
-    if (!wasActive)
+    if (!wasActive || isNewTerm)
         this->handWaitingJobsOver();
 }
 
 // The coordinator knows the free slots of all servers, and this host only its share of them.
 void PlacementClient::handWaitingJobsOver()
 {
+    if (!this->coordinatorActive)
+        return;
     for (auto& [number, entry] : this->pendingJobs) {
         if (entry.atCoordinator || !this->scheduler.isWaiting(entry.job.id))
             continue;
         this->scheduler.withdraw(entry.job.id);
+        // A repeated end of the declined placement would end the next one.
+        std::erase_if(this->recentJobEnds, [&](const auto& end) { return end.second.job() == number; });
         entry.atCoordinator = true;
         entry.acknowledged = false;
         entry.resendCount = 0;
--- a/libs/coordination/src/StateEncoding.cpp
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
-#include <sstream>
+#include <string_view>
 #include <xxhash.h>
 
 namespace sequoia::coordination {
@@ -175,25 +175,36 @@
 
 std::vector<std::string> encodeEvacuations(const fleet::EvacuationState& state)
 {
-    // Names of data centres contain no line breaks: they are keys of rows.
-    std::string text = std::to_string(state.version) + "\n";
+    // Each name is preceded by its length, since keys of rows may contain any character.
+    auto text = std::to_string(state.version) + ":";
     for (const auto& dataCentre : state.dataCentres)
-        text += dataCentre + "\n";
+        text += std::to_string(dataCentre.size()) + ":" + dataCentre;
     return encodeText(text);
 }
 
 Result<fleet::EvacuationState> decodeEvacuations(const std::vector<std::string>& buckets)
 {
-    std::istringstream text(decodeText(buckets));
+    Error malformed { ErrorKind::MalformedMessage, "the state of the evacuations is malformed",
+        "check that all hosts run the same version" };
+    auto text = decodeText(buckets);
+    std::string_view rest = text;
+    auto takeNumber = [&rest](std::uint64_t& number) {
+        auto [end, status] = std::from_chars(rest.data(), rest.data() + rest.size(), number);
+        if (status != std::errc() || end == rest.data() + rest.size() || *end != ':')
+            return false;
+        rest.remove_prefix(static_cast<std::size_t>(end - rest.data()) + 1);
+        return true;
+    };
     fleet::EvacuationState state;
-    std::string line;
-    std::getline(text, line);
-    auto [end, status] = std::from_chars(line.data(), line.data() + line.size(), state.version);
-    if (status != std::errc() || end != line.data() + line.size())
-        return Error { ErrorKind::MalformedMessage, "the state of the evacuations has no version",
-            "check that all hosts run the same version" };
-    while (std::getline(text, line))
-        state.dataCentres.insert(line);
+    if (!takeNumber(state.version) || state.version == 0)
+        return malformed;
+    while (!rest.empty()) {
+        std::uint64_t length = 0;
+        if (!takeNumber(length) || length == 0 || length > rest.size())
+            return malformed;
+        state.dataCentres.emplace(rest.substr(0, length));
+        rest.remove_prefix(length);
+    }
     return state;
 }
 
--- a/libs/coordination/src/StateReplica.cpp
+++ b/libs/coordination/src/StateReplica.cpp
@@ -2,6 +2,8 @@
 
 #include "coordination/StateEncoding.h"
 
+#include <utility>
+
 namespace sequoia::coordination {
 
 namespace {
@@ -78,6 +80,15 @@
         && found->second.announcedDigest == found->second.buckets.digest();
 }
 
+// Buckets may arrive before the digest that covers them, so a group may become current without a change.
+bool StateReplica::takeChange(const std::string& name)
+{
+    if (!this->isCurrent(name))
+        return false;
+    auto& group = this->groups.find(name)->second;
+    return std::exchange(group.takenDigest, group.announcedDigest) != group.announcedDigest;
+}
+
 const std::vector<std::string>& StateReplica::contents(const std::string& name) const
 {
     auto found = this->groups.find(name);
--- a/programs/node/src/ConfigurationWatcher.cpp
+++ b/programs/node/src/ConfigurationWatcher.cpp
@@ -132,24 +132,22 @@
 {
     if (!this->evacuationsChanged)
         return;
-    bool changedNow = false;
-    fleet::EvacuationState state { rowSet.storeVersion, {} };
+    std::vector<fleet::EvacuationRow> rows;
     for (const auto& row : rowSet.rows) {
-        auto dataCentre = platform_adapter::evacuatedDataCentre(row.name.key);
-        if (!dataCentre)
-            continue;
-        if (!row.removed)
-            state.dataCentres.insert(*dataCentre);
-        if (!complete)
-            changedNow = this->evacuations.change(*dataCentre, !row.removed, row.version) || changedNow;
+        if (auto dataCentre = platform_adapter::evacuatedDataCentre(row.name.key))
+            rows.push_back({ std::move(*dataCentre), row.removed, row.version });
     }
-    if (complete)
-        changedNow = this->evacuations.update(state);
-    if (!changedNow && this->evacuationsReported)
-        return;
     // The first state is reported even if it is empty, since another host may know of an evacuation that has ended.
-    this->evacuationsReported = true;
-    this->evacuationsChanged(this->evacuations.state());
+    if (complete ? this->evacuations.replaceRows(rows, rowSet.storeVersion) : this->evacuations.changeRows(rows))
+        this->evacuationsChanged(this->evacuations.state(), false);
+}
+
+void ConfigurationWatcher::applyReceivedEvacuations(const fleet::EvacuationState& received)
+{
+    if (!this->evacuationsChanged || received.version < this->evacuations.state().version)
+        return;
+    this->evacuations.update(received);
+    this->evacuationsChanged(this->evacuations.state(), true);
 }
 
 void ConfigurationWatcher::applyRows(const store::RowSet& rowSet, bool complete)
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -20,7 +20,7 @@
     using ChangeCallback
         = std::function<void(const std::shared_ptr<const fleet::Configuration>&, const std::string& text)>;
 
-    using EvacuationCallback = std::function<void(const fleet::EvacuationState&)>;
+    using EvacuationCallback = std::function<void(const fleet::EvacuationState&, bool fromCoordinator)>;
 
     //! Where the newest configuration comes from.
     enum class Source {
@@ -40,7 +40,10 @@
     void onVersionAnnounced(std::uint64_t version);
     //! Takes a configuration from the coordinator.
     void applyReceived(const std::string& text);
+    //! Takes the evacuations as the coordinator knows them, unless this host knows a newer state.
+    void applyReceivedEvacuations(const fleet::EvacuationState& received);
     const std::shared_ptr<const fleet::Configuration>& current() const { return this->configuration; }
+    std::size_t evacuatedDataCentres() const { return this->evacuations.state().dataCentres.size(); }
     //! When the store last answered.
     TimePoint lastStoreContact() const { return this->lastStoreResponse; }
 
@@ -58,8 +61,7 @@
     timeline::EventLog& events;
     ChangeCallback changed;
     EvacuationCallback evacuationsChanged;
-    fleet::Evacuations evacuations; //!< as this host has read them
-    bool evacuationsReported = false;
+    fleet::Evacuations evacuations;
     std::shared_ptr<const fleet::Configuration> configuration;
     store::RowVersion lastStoreVersion = 0;
     Source source = Source::Store;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -112,21 +112,26 @@
     }
 }
 
-void CoordinationTask::setEvacuations(const fleet::EvacuationState& state, const char* source)
+void CoordinationTask::setEvacuations(const fleet::EvacuationState& state, bool fromCoordinator)
 {
-    bool changed = this->evacuations.update(state);
-    const auto& current = this->evacuations.state();
-    if (changed) {
+    if (this->evacuations.update(state)) {
         std::string names;
-        for (const auto& name : current.dataCentres)
+        for (const auto& name : state.dataCentres)
             names += (names.empty() ? "" : ",") + name;
+        auto affected = std::count_if(this->servers.begin(), this->servers.end(),
+            [&](const auto& entry) { return state.dataCentres.contains(entry.second.dataCentre); });
         this->events.record(timeline::Severity::Info, "evacuations",
-            { { "data_centres", names }, { "version", std::to_string(current.version) }, { "source", source } });
+            { { "data_centres", names }, { "servers", std::to_string(affected) },
+                { "version", std::to_string(state.version) },
+                { "source", fromCoordinator ? "coordinator" : "store" } });
     }
-    this->placement->setEvacuations(current);
+    this->placement->setEvacuations(this->evacuations.state());
+    // Jobs that wait here because the coordinator did not know of the evacuation go to it.
+    if (fromCoordinator)
+        this->placement->handWaitingJobsOver();
     if (!this->coordinator)
         return;
-    this->coordinator->setEvacuations(current);
+    this->coordinator->setEvacuations(this->evacuations.state());
     this->runCoordinator();
 }
 
@@ -219,8 +224,6 @@
                 { { "service", service }, { "reason", errorOf(updated).message },
                     { "remedy", errorOf(updated).remedy } });
     };
-    callbacks.onEvacuations
-        = [this](const fleet::EvacuationState& state) { this->setEvacuations(state, "coordinator"); };
     this->receivedState.setCallbacks(std::move(callbacks));
     this->onVersionAnnounced = std::move(versionCallback);
 }
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -35,8 +35,8 @@
     //! `text` is the configuration as stored.
     void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration, const std::string& text);
     void setServers(const fleet::ServerMap& servers);
-    //! Takes what this host has read; `source` is for the log.
-    void setEvacuations(const fleet::EvacuationState& state, const char* source);
+    //! Takes the newest state that this host knows.
+    void setEvacuations(const fleet::EvacuationState& state, bool fromCoordinator);
     //! Applies changed figures: retry budget, longest lease, processor share and link speed.
     void reload(const settings::Settings& settings);
     edge::Placer& placer() { return *this->placement; }
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -59,7 +59,9 @@
         });
     if (settings.duration("evacuation", "bound") > Duration::zero())
         this->configurationWatcher->setEvacuationCallback(
-            [this](const fleet::EvacuationState& state) { this->coordination->setEvacuations(state, "store"); });
+            [this](const fleet::EvacuationState& state, bool fromCoordinator) {
+                this->coordination->setEvacuations(state, fromCoordinator);
+            });
     this->serverWatcher = std::make_unique<ServerWatcher>(
         this->reactor, this->store, this->events, [this](const fleet::ServerMap& listedServers) {
             for (const auto& [id, entry] : this->knownServers) {
@@ -104,6 +106,8 @@
             this->serverWatcher->confirmCoordinatorList();
     };
     callbacks.onConfiguration = [this](const std::string& text) { this->configurationWatcher->applyReceived(text); };
+    callbacks.onEvacuations
+        = [this](const fleet::EvacuationState& state) { this->configurationWatcher->applyReceivedEvacuations(state); };
     this->coordination->setStateCallbacks(std::move(callbacks),
         [this](std::uint64_t version) { this->configurationWatcher->onVersionAnnounced(version); });
     this->configurationWatcher->start();
@@ -170,6 +174,8 @@
     add("sequoia_servers_age_seconds", "gauge", "Time since the store last answered about backend servers.",
         seconds(this->serverWatcher->lastStoreContact()));
     add("sequoia_servers", "gauge", "Backend servers known.", count(this->serverWatcher->servers().size()));
+    add("sequoia_evacuated_data_centres", "gauge", "Data centres whose backend servers get no requests.",
+        count(this->configurationWatcher->evacuatedDataCentres()));
     add("sequoia_waiting_jobs", "gauge", "Requests of this host that wait for a backend server.",
         count(this->coordination->waitingJobs()));
     add("sequoia_uses_coordinator", "gauge", "1 when a coordinator places the requests of this host.",
--- a/programs/node/src/ReceivedState.cpp
+++ b/programs/node/src/ReceivedState.cpp
@@ -47,7 +47,7 @@
     if (hasConfiguration && this->callbacks.onConfiguration)
         this->callbacks.onConfiguration(
             coordination::decodeText(this->replica.contents(coordination::configurationGroup)));
-    if (changed.contains(coordination::evacuationGroup))
+    if (this->replica.takeChange(coordination::evacuationGroup))
         this->applyEvacuations();
     // The list of a coordinator that does not reach the store is stale. Hosts then read the store themselves, and
     // report whether they reach it.
@@ -76,7 +76,7 @@
 
 void ReceivedState::applyEvacuations()
 {
-    if (!this->replica.isCurrent(coordination::evacuationGroup) || !this->callbacks.onEvacuations)
+    if (!this->callbacks.onEvacuations)
         return;
     auto decoded = coordination::decodeEvacuations(this->replica.contents(coordination::evacuationGroup));
     if (succeeded(decoded))
