Age of the server list derived from the bound for leaving servers

Cause: a host took a coordinator's list as current for up to 1.5 s after the coordinator's last contact with the store, which a change of the configuration renewed without a read of the list, then for 0.9 s unconfirmed, and then polled: 2.6 s in sum with a bound of 2 s. The list of a coordinator that had lost the store also replaced newer ones that hosts had read, and a read that was still scheduled from before delayed the next one by up to 0.8 s. Change: fleet::serverListTimes() derives all spans from [servers] drain_bound; fleet::ServerListAge decides by the age of the list since the begin of its read, which beacons now state. A host that prefers its own list declines placements on servers that it lacks and places these jobs itself; draining ones were declined already. node_bounds fills the optional sections of deploy/node.ini, which it had failed on.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -28,7 +28,7 @@
     std::string ownIncarnation; //!< of the coordinator's own host
     bool resigned = false;
     bool requestStoreProbe = false; //!< standbys check whether they reach the store, and report it
-    std::int64_t storeContactAgeMs = 0;
+    std::int64_t storeContactAgeMs = 0; //!< since the coordinator began to read its list of servers
 };
 
 //! The coordinator during one term: manages the key leases of all keyed services, and places the jobs of all hosts,
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -38,6 +38,8 @@
     void setRetryOptions(const balance::SchedulerOptions& options) { this->scheduler.setRetryOptions(options); }
     void setServers(const fleet::ServerMap& servers);
     void setEvacuations(const fleet::EvacuationState& state);
+    //! Whether this host's list of servers is newer than the coordinator's, so that servers that it lacks are gone.
+    void preferOwnList(bool prefer) { this->prefersOwnList = prefer; }
     //! Submits the jobs that wait at this host to the coordinator, which may have become able to place them.
     void handWaitingJobsOver();
     //! Services whose cold servers get no jobs that this host places locally.
@@ -88,6 +90,7 @@
         std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator);
     bool mustDecline(const fleet::ServerInstance& server) const;
     bool isEvacuated(const std::string& server) const;
+    bool isGone(const fleet::ServerInstance& server) const;
     void declinePlacement(PendingJob& entry, const fleet::ServerInstance& server);
     void forgetCoordinatorJobs();
     wire::ServerNotice noticeOf(const fleet::ServerInstance& server) const;
@@ -105,6 +108,7 @@
     fleet::ServerMap servers; //!< with the leaving ones marked as draining
     fleet::LeavingServers leavingServers;
     fleet::Evacuations evacuations;
+    bool prefersOwnList = false;
     std::map<fleet::ServerInstance, TimePoint> pauses; //!< that servers asked this host for, with their ends
     Duration resendInterval {};
     Duration replyTimeout {};
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -210,6 +210,14 @@
     return entry != this->listedServers.end() && this->evacuations.contains(entry->second.dataCentre);
 }
 
+bool PlacementClient::isGone(const fleet::ServerInstance& server) const
+{
+    if (!this->prefersOwnList)
+        return false;
+    auto entry = this->listedServers.find(server.id);
+    return entry == this->listedServers.end() || entry->second.instance.startMillis > server.startMillis;
+}
+
 void PlacementClient::setHostCount(std::uint32_t hosts)
 {
     double factor = std::max(1.0, hosts / hostsWithMinTimeouts);
@@ -333,8 +341,8 @@
             this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         return;
     }
-    if (byCoordinator && this->isEvacuated(server.id)) {
-        // The coordinator does not know of the evacuation yet, and would place the job there again.
+    if (byCoordinator && (this->isEvacuated(server.id) || this->isGone(server))) {
+        // The coordinator does not know it yet, and would place the job there again.
         this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         this->submitLocally(number);
         return;
--- a/libs/coordination/tests/EvacuationTest.cpp
+++ b/libs/coordination/tests/EvacuationTest.cpp
@@ -279,6 +279,27 @@
         CHECK(host.observer.placed[job] == "keyed-b");
 }
 
+// Guards against jobs that wait for the small share of slots of one host although a coordinator could place them.
+TEST_CASE("jobs whose placements a host declined go to the next coordinator")
+{
+    EvacuationFixture fixture;
+    auto& host = fixture.hosts[0];
+    auto listed = servers();
+    listed.erase("plain-a");
+    host.client.setServers(listed);
+    host.client.preferOwnList(true);
+    for (std::size_t i = 0; i < std::size_t { slotsPerServer }; ++i)
+        fixture.submit(0, "plain");
+    CHECK(host.observer.placed.size() < slotsPerServer);
+    fixture.startCoordinator();
+    fixture.coordinator->setServers(listed);
+    fixture.exchange(true);
+    fixture.exchange(true);
+    CHECK(host.observer.placed.size() == slotsPerServer);
+    for (const auto& [job, server] : host.observer.placed)
+        CHECK(server == "plain-b");
+}
+
 // Guards against callers that wait until their deadlines for servers that are all evacuated.
 TEST_CASE(
     "when all servers of a service are evacuated, new and waiting jobs are refused at once, also without coordinator")
--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -90,6 +90,8 @@
     { "evacuation", "bound", Duration, "0s", 0, tenYears,
         "time within which the servers of an evacuated data centre get no more requests; 0: evacuations are not used",
         Optional },
+    { "servers", "drain_bound", Duration, "2s", 1, tenYears,
+        "time within which a leaving backend server gets no more requests", Optional },
     { "cold_servers", "rate_factor", Real, "0", 0, 1e6,
         "a cold server may get this many times the rate of requests that its service states; 0: not limited",
         Optional },
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -66,7 +66,7 @@
     , election(ownIncarnation, this->address, makeElectionOptions(settings), this->random)
     , sender(owner, log)
     , leaseOrderSender(owner)
-    , receivedState(log)
+    , receivedState(log, fleet::serverListTimes(settings.duration("servers", "drain_bound")))
 {
     this->placement = std::make_unique<coordination::PlacementClient>(
         owner.timeSource(), this->schedulerOptions, [this] { this->scheduleFlush(); });
@@ -112,6 +112,12 @@
     }
 }
 
+void CoordinationTask::onServerListRead(TimePoint started)
+{
+    this->serverListReadAt = started;
+    this->receivedState.recordOwnRead(started);
+}
+
 void CoordinationTask::setEvacuations(const fleet::EvacuationState& state, bool fromCoordinator)
 {
     if (this->evacuations.update(state)) {
@@ -196,6 +202,7 @@
         this->receivedState.apply(datagram, this->coordinator != nullptr, this->reactor.now());
     if (this->hasReceivedBeacon)
         this->placement->onCoordinatorContact(datagram.term());
+    this->placement->preferOwnList(!this->coordinator && this->receivedState.prefersOwnList(this->reactor.now()));
     this->placement->receive(datagram);
 }
 
@@ -425,7 +432,7 @@
     this->sendDatagrams(this->coordinator->makeBeacons({ this->incarnation, this->election.isResigning(),
         this->election.suspectsStoreOutage(now)
             || this->coordinator->maxProcessorShare() >= handoverShareRatio * this->processorShare,
-        toMillis(now - this->lastStoreContact()) }));
+        toMillis(now - this->serverListReadAt) }));
 }
 
 void CoordinationTask::loadPlans(std::uint64_t term)
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -35,6 +35,8 @@
     //! `text` is the configuration as stored.
     void setConfiguration(const std::shared_ptr<const fleet::Configuration>& configuration, const std::string& text);
     void setServers(const fleet::ServerMap& servers);
+    //! This host has read the list of servers from the store and uses it; the call began at `started`.
+    void onServerListRead(TimePoint started);
     //! Takes the newest state that this host knows.
     void setEvacuations(const fleet::EvacuationState& state, bool fromCoordinator);
     //! Applies changed figures: retry budget, longest lease, processor share and link speed.
@@ -108,6 +110,7 @@
     std::shared_ptr<const fleet::Configuration> configuration;
     std::string configurationText;
     fleet::ServerMap servers;
+    TimePoint serverListReadAt {}; //!< by this host itself
     fleet::Evacuations evacuations;
     VersionCallback onVersionAnnounced;
     ReceivedState receivedState;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration cleanupInterval = std::chrono::seconds(1);
-constexpr Duration dataSourceInterval = std::chrono::milliseconds(200);
 // The platform stops sending connections after two failed readiness checks, which are a second apart.
 constexpr Duration platformDetectionTime = std::chrono::milliseconds(2600);
 // The process exits this long before the platform would kill it.
@@ -31,6 +30,7 @@
 
 NodeService::NodeService(const runtime::ProgramContext& context)
     : terminationGracePeriod(context.settings.duration("edge", "grace"))
+    , listTimes(fleet::serverListTimes(context.settings.duration("servers", "drain_bound")))
     , events(context.events)
     , reactor(g_main_context_default(), context.clock)
     , store(
@@ -63,7 +63,8 @@
                 this->coordination->setEvacuations(state, fromCoordinator);
             });
     this->serverWatcher = std::make_unique<ServerWatcher>(
-        this->reactor, this->store, this->events, [this](const fleet::ServerMap& listedServers) {
+        this->reactor, this->store, this->events, this->listTimes.readInterval,
+        [this](const fleet::ServerMap& listedServers) {
             for (const auto& [id, entry] : this->knownServers) {
                 auto found = listedServers.find(id);
                 if (found == listedServers.end() || found->second.instance != entry.instance)
@@ -71,7 +72,8 @@
             }
             this->knownServers = listedServers;
             this->coordination->setServers(listedServers);
-        });
+        },
+        [this](TimePoint started) { this->coordination->onServerListRead(started); });
     auto readyAddress = net::SocketAddress::parse(settings.text("edge", "ready_listen"));
     auto edgeAddress = net::SocketAddress::parse(settings.text("edge", "listen"));
     if (!succeeded(readyAddress))
@@ -129,7 +131,7 @@
     this->configurationWatcher->setSource(directoryCurrent ? Source::Coordinator
             : coordinatorAlive                             ? Source::StoreWithCoordinator
                                                            : Source::Store);
-    this->reactor.scheduleAfter(dataSourceInterval, [this] { this->updateDataSources(); });
+    this->reactor.scheduleAfter(this->listTimes.checkInterval, [this] { this->updateDataSources(); });
 }
 
 bool NodeService::isReady() const
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -34,6 +34,7 @@
     void checkStop();
 
     Duration terminationGracePeriod;
+    fleet::ServerListTimes listTimes;
     timeline::EventLog& events;
     net::Reactor reactor;
     platform_adapter::StoreClient store;
--- a/programs/node/src/ReceivedState.cpp
+++ b/programs/node/src/ReceivedState.cpp
@@ -1,26 +1,22 @@
 #include "ReceivedState.h"
 
+#include "coordination/JobMessages.h"
 #include "coordination/StateEncoding.h"
 
 namespace sequoia::node {
 
-namespace {
-
-// A list that has not been confirmed for this time is stale, and the host reads it from the store instead.
-constexpr Duration directoryValidity = std::chrono::milliseconds(900);
-// The coordinator reads the list every 0.8 s, and an answer of the store may take some time.
-constexpr std::int64_t maxStoreContactAgeMs = 1500;
-
-}
-
-ReceivedState::ReceivedState(timeline::EventLog& log)
+ReceivedState::ReceivedState(timeline::EventLog& log, const fleet::ServerListTimes& times)
     : events(log)
+    , listAge(times)
 {
 }
 
 void ReceivedState::apply(const wire::Datagram& datagram, bool ownersOnly, TimePoint now)
 {
-    if (datagram.has_server_changes() && this->hasServers && !ownersOnly) {
+    if (datagram.has_beacon() && !ownersOnly)
+        this->listAge.recordAnnouncedAge(coordination::boundedMillis(datagram.beacon().store_contact_age_ms()), now);
+    bool accepted = this->listAge.acceptsCoordinatorList(now);
+    if (datagram.has_server_changes() && this->hasServers && !ownersOnly && accepted) {
         coordination::applyServerChanges(datagram.server_changes(), this->servers);
         this->replica.assign(coordination::serverGroup, coordination::encodeServers(this->servers));
         this->applying = true;
@@ -37,26 +33,34 @@
     if (ownersOnly)
         return;
     this->applying = true;
-    bool serversComplete = this->replica.isCurrent(coordination::serverGroup);
-    // A list in progress is used from its first part on, unless the host has none yet.
-    bool isFirst = serversComplete && !this->hasServers;
-    this->hasServers = this->hasServers || serversComplete;
-    if (this->hasServers && (isFirst || changed.contains(coordination::serverGroup)))
-        this->applyServers(true);
+    bool serversChanged = changed.contains(coordination::serverGroup);
+    if (accepted || !this->hasServers)
+        this->applyServerGroup(datagram.has_beacon(), serversChanged, now);
+    else
+        this->serversSkipped = this->serversSkipped || serversChanged;
     bool hasConfiguration = this->replica.isCurrent(coordination::configurationGroup);
     if (hasConfiguration && this->callbacks.onConfiguration)
         this->callbacks.onConfiguration(
             coordination::decodeText(this->replica.contents(coordination::configurationGroup)));
     if (this->replica.takeChange(coordination::evacuationGroup))
         this->applyEvacuations();
+    this->applying = false;
+}
+
+void ReceivedState::applyServerGroup(bool hasBeacon, bool changed, TimePoint now)
+{
+    bool complete = this->replica.isCurrent(coordination::serverGroup);
+    // A list in progress is used from its first part on, unless the host has none yet.
+    bool isFirst = complete && !this->hasServers;
+    this->hasServers = this->hasServers || complete;
+    if (this->hasServers && (isFirst || changed || this->serversSkipped)) {
+        this->serversSkipped = false;
+        this->applyServers(true);
+    }
     // The list of a coordinator that does not reach the store is stale. Hosts then read the store themselves, and
     // report whether they reach it.
-    bool fresh = datagram.has_beacon() && datagram.beacon().store_contact_age_ms() < maxStoreContactAgeMs;
-    if (fresh && serversComplete) {
-        this->lastConfirmed = now;
+    if (hasBeacon && complete && this->listAge.confirm(now))
         this->applyServers(false);
-    }
-    this->applying = false;
 }
 
 void ReceivedState::applyServers(bool changed)
@@ -92,6 +96,7 @@
         return;
     this->servers = listed;
     this->hasServers = true;
+    this->serversSkipped = false;
     this->replica.assign(coordination::serverGroup, coordination::encodeServers(listed));
 }
 
@@ -101,9 +106,4 @@
         this->replica.assign(coordination::configurationGroup, coordination::encodeText(text));
 }
 
-bool ReceivedState::isCurrent(TimePoint now) const
-{
-    return now - this->lastConfirmed < directoryValidity;
-}
-
 }
--- a/programs/node/src/ReceivedState.h
+++ b/programs/node/src/ReceivedState.h
@@ -3,6 +3,7 @@
 #include "coordination/StateReplica.h"
 #include "fleet/Evacuations.h"
 #include "fleet/ServerEntry.h"
+#include "fleet/ServerListAge.h"
 #include "timeline/EventLog.h"
 
 #include <functional>
@@ -21,7 +22,7 @@
         std::function<void(const std::string& service, const std::vector<std::string>& buckets)> onOwners;
     };
 
-    explicit ReceivedState(timeline::EventLog& events);
+    ReceivedState(timeline::EventLog& events, const fleet::ServerListTimes& times);
 
     void setCallbacks(Callbacks callbacks) { this->callbacks = std::move(callbacks); }
     //! `ownersOnly` is set on the coordinator's own host, which reads the rest from the store.
@@ -30,10 +31,15 @@
     void assignServers(const fleet::ServerMap& servers);
     void assignConfiguration(const std::string& text);
     void fillRequests(wire::Report& report) { this->replica.fillRequests(report); }
-    //! Whether the list of servers was confirmed recently.
-    bool isCurrent(TimePoint now) const;
+    //! This host has read the list of servers from the store; the call began at `started`.
+    void recordOwnRead(TimePoint started) { this->listAge.recordOwnRead(started); }
+    //! Whether the list of servers was confirmed recently and is not too old.
+    bool isCurrent(TimePoint now) const { return this->listAge.isCurrent(now); }
+    //! Whether this host's list of servers is used instead of the coordinator's older one.
+    bool prefersOwnList(TimePoint now) const { return !this->listAge.acceptsCoordinatorList(now); }
 
 private:
+    void applyServerGroup(bool hasBeacon, bool changed, TimePoint now);
     void applyServers(bool changed);
     void applyEvacuations();
 
@@ -43,7 +49,8 @@
     fleet::ServerMap servers;
     bool hasServers = false; //!< the list was complete once
     bool applying = false;
-    TimePoint lastConfirmed {};
+    bool serversSkipped = false; //!< the replica has a list of the coordinator that is not in use
+    fleet::ServerListAge listAge;
 };
 
 }
--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -4,27 +4,30 @@
 #include "platform_adapter/ProtocolNames.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoia::node {
 
 namespace {
 
-// A draining server must get no new requests two seconds after it announced that it drains.
-constexpr Duration readInterval = std::chrono::milliseconds(800);
 // Several missed reads count as an outage of the store.
 constexpr Duration minOutageTime = std::chrono::milliseconds(2600);
 // Live servers are listed again within two seconds after the store recovers, by the users' specification.
 constexpr Duration graceAfterOutage = std::chrono::milliseconds(2200);
 constexpr std::size_t maxLoggedChanges = 20;
+// Part of the read interval that passes between a slow answer and the next read.
+constexpr int minPauseDivisor = 4;
 
 }
 
-ServerWatcher::ServerWatcher(
-    net::Reactor& owner, store::RowStore& rows, timeline::EventLog& log, ChangeCallback callback)
+ServerWatcher::ServerWatcher(net::Reactor& owner, store::RowStore& rows, timeline::EventLog& log, Duration interval,
+    ChangeCallback callback, ReadCallback readCallback)
     : reactor(owner)
     , store(rows)
     , events(log)
+    , readInterval(interval)
     , changed(std::move(callback))
+    , read(std::move(readCallback))
     , directory(minOutageTime, graceAfterOutage)
 {
 }
@@ -36,8 +39,9 @@
 
 void ServerWatcher::setPolling(bool enable)
 {
-    this->polling = enable;
-    if (enable && !this->readScheduled)
+    bool wasPolling = std::exchange(this->polling, enable);
+    // A read that is still scheduled from an earlier time without a current list would be too late.
+    if (enable && !wasPolling && !this->readInProgress)
         this->readAll();
 }
 
@@ -55,32 +59,34 @@
 
 void ServerWatcher::scheduleRead(TimePoint when)
 {
-    this->reactor.schedule(when, [this] {
-        this->readScheduled = false;
-        if (this->polling)
+    this->reactor.schedule(when, [this, number = this->readNumber] {
+        if (this->polling && number == this->readNumber)
             this->readAll();
     });
 }
 
 void ServerWatcher::readAll()
 {
-    this->readScheduled = true;
+    this->readInProgress = true;
+    ++this->readNumber;
     auto readStarted = this->reactor.now();
     this->store.read(std::string(platform_adapter::serverTable), [this, readStarted](Result<store::RowSet> rowSet) {
+        this->readInProgress = false;
         if (succeeded(rowSet))
-            this->applyRows(valueOf(rowSet));
+            this->applyRows(valueOf(rowSet), readStarted);
         else if (!this->storeLost) {
             this->storeLost = true;
             this->events.record(timeline::Severity::Warn, "store_lost",
                 { { "watch", "servers" }, { "reason", errorOf(rowSet).message },
                     { "remedy", errorOf(rowSet).remedy } });
         }
-        auto nextRead = std::max(readStarted + readInterval, this->reactor.now() + readInterval / 4);
+        auto nextRead
+            = std::max(readStarted + this->readInterval, this->reactor.now() + this->readInterval / minPauseDivisor);
         this->scheduleRead(nextRead);
     });
 }
 
-void ServerWatcher::applyRows(const store::RowSet& rowSet)
+void ServerWatcher::applyRows(const store::RowSet& rowSet, TimePoint readStarted)
 {
     this->lastStoreResponse = this->reactor.now();
     if (this->storeLost) {
@@ -101,7 +107,10 @@
     }
     auto before = this->directory.servers();
     // A read that began before polling was disabled is older than the coordinator's list.
-    if (this->polling && this->directory.update(entries, this->reactor.now()))
+    if (!this->polling)
+        return;
+    this->read(readStarted);
+    if (this->directory.update(entries, this->reactor.now()))
         this->publish(before, false);
 }
 
--- a/programs/node/src/ServerWatcher.h
+++ b/programs/node/src/ServerWatcher.h
@@ -16,8 +16,11 @@
 class ServerWatcher {
 public:
     using ChangeCallback = std::function<void(const fleet::ServerMap&)>;
+    //! Called with the begin of each read whose list is used, before that list.
+    using ReadCallback = std::function<void(TimePoint started)>;
 
-    ServerWatcher(net::Reactor& reactor, store::RowStore& store, timeline::EventLog& events, ChangeCallback changed);
+    ServerWatcher(net::Reactor& reactor, store::RowStore& store, timeline::EventLog& events, Duration readInterval,
+        ChangeCallback changed, ReadCallback read);
 
     void start();
     //! Sets whether this host polls the store. If not, it receives the list from the coordinator.
@@ -33,18 +36,21 @@
     void readAll();
     void scheduleRead(TimePoint when);
     void publish(const fleet::ServerMap& before, bool fromCoordinator);
-    void applyRows(const store::RowSet& rowSet);
+    void applyRows(const store::RowSet& rowSet, TimePoint readStarted);
     void logChanges(const fleet::ServerMap& before, bool fromCoordinator) const;
 
     net::Reactor& reactor;
     store::RowStore& store;
     timeline::EventLog& events;
+    Duration readInterval;
     ChangeCallback changed;
+    ReadCallback read;
     fleet::ServerDirectory directory;
     std::map<std::string, store::RowVersion> rejectedEntries; //!< malformed entries that are already in the log
     TimePoint lastStoreResponse {};
     bool polling = true;
-    bool readScheduled = false;
+    bool readInProgress = false;
+    std::uint64_t readNumber = 0;
     bool storeLost = false;
 };
 
--- a/tests/processes/node_bounds.sh
+++ b/tests/processes/node_bounds.sh
@@ -17,6 +17,7 @@
 declare -A usual=(
     [limits.cpu_share]=0.15 [limits.link_mbps]=750.0 [bounds.grace_s]=6 [bounds.hold_max_ms]=10000
     [bounds.retry_budget_ratio]=0.2 [bounds.retry_budget_slack]=60 [bounds.budget_window_s]=10
+    [bounds.evac_ms]=5000 [bounds.drain_ms]=2000 [bounds.cold_over]=1.5 [bounds.cold_slack]=8
 )
 
 fail() {
@@ -32,6 +33,13 @@
     for name in "${!names[@]}"; do values[$name]=${names[$name]}; done
     for name in "${!usual[@]}"; do values[$name]=${usual[$name]}; done
     for change in "$@"; do values[${change%%=*}]=${change#*=}; done
+    # The lines between {{#NAME}} and {{/NAME}} are left out where the deployment has no such figure.
+    for name in "${!values[@]}"; do
+        case ${values[$name]} in
+        '' | false) text=$(sed "\\|^{{#$name}}|,\\|^{{/$name}}|d" <<<"$text") ;;
+        *) text=$(sed "\\|^{{[#/]$name}}|d" <<<"$text") ;;
+        esac
+    done
     for name in "${!values[@]}"; do text=${text//"{{$name}}"/${values[$name]}}; done
     printf '%s\n' "$text" >"$settings.new"
     mv "$settings.new" "$settings"
