--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -193,6 +193,7 @@
     auto now = this->clock.now();
     this->servers = this->listedServers;
     this->leavingServers.apply(this->servers, now);
+    this->scheduler.setUnservedServices(this->evacuations.servicesWithoutServers(this->servers));
     this->evacuations.apply(this->servers);
     this->scheduler.setServers(this->servers, now);
 }
@@ -209,6 +210,14 @@
     return entry != this->listedServers.end() && this->evacuations.contains(entry->second.dataCentre);
 }
 
+bool PlacementClient::isGone(const fleet::ServerInstance& server) const
+{
+    if (!this->prefersOwnList)
+        return false;
+    auto entry = this->listedServers.find(server.id);
+    return entry == this->listedServers.end() || entry->second.instance.startMillis > server.startMillis;
+}
+
 void PlacementClient::setHostCount(std::uint32_t hosts)
 {
     double factor = std::max(1.0, hosts / hostsWithMinTimeouts);
@@ -224,22 +233,27 @@
 {
     this->lastCoordinatorContact = this->clock.now();
     bool wasActive = std::exchange(this->coordinatorActive, true);
-    if (newTerm != this->term) {
+    bool isNewTerm = newTerm != this->term;
+    if (isNewTerm) {
         this->term = newTerm;
         this->hostNumber = 0;
         this->forgetCoordinatorJobs();
     }
-    if (!wasActive)
+    if (!wasActive || isNewTerm)
         this->handWaitingJobsOver();
 }
 
 // The coordinator knows the free slots of all servers, and this host only its share of them.
 void PlacementClient::handWaitingJobsOver()
 {
+    if (!this->coordinatorActive)
+        return;
     for (auto& [number, entry] : this->pendingJobs) {
         if (entry.atCoordinator || !this->scheduler.isWaiting(entry.job.id))
             continue;
         this->scheduler.withdraw(entry.job.id);
+        // A repeated end of the declined placement would end the next one.
+        std::erase_if(this->recentJobEnds, [&](const auto& end) { return end.second.job() == number; });
         entry.atCoordinator = true;
         entry.acknowledged = false;
         entry.resendCount = 0;
@@ -333,8 +347,8 @@
             this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         return;
     }
-    if (byCoordinator && this->isEvacuated(server.id)) {
-        // The coordinator does not know of the evacuation yet, and would place the job there again.
+    if (byCoordinator && (this->isEvacuated(server.id) || this->isGone(server))) {
+        // The coordinator does not know it yet, and would place the job there again.
         this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         this->submitLocally(number);
         return;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -66,7 +66,7 @@
     , election(ownIncarnation, this->address, makeElectionOptions(settings), this->random)
     , sender(owner, log)
     , leaseOrderSender(owner)
-    , receivedState(log)
+    , receivedState(log, fleet::serverListTimes(settings.duration("servers", "drain_bound")))
 {
     this->placement = std::make_unique<coordination::PlacementClient>(
         owner.timeSource(), this->schedulerOptions, [this] { this->scheduleFlush(); });
@@ -112,21 +112,32 @@
     }
 }
 
-void CoordinationTask::setEvacuations(const fleet::EvacuationState& state, const char* source)
+void CoordinationTask::onServerListRead(TimePoint started)
 {
-    bool changed = this->evacuations.update(state);
-    const auto& current = this->evacuations.state();
-    if (changed) {
+    this->serverListReadAt = started;
+    this->receivedState.recordOwnRead(started);
+}
+
+void CoordinationTask::setEvacuations(const fleet::EvacuationState& state, bool fromCoordinator)
+{
+    if (this->evacuations.update(state)) {
         std::string names;
-        for (const auto& name : current.dataCentres)
+        for (const auto& name : state.dataCentres)
             names += (names.empty() ? "" : ",") + name;
+        auto affected = std::count_if(this->servers.begin(), this->servers.end(),
+            [&](const auto& entry) { return state.dataCentres.contains(entry.second.dataCentre); });
         this->events.record(timeline::Severity::Info, "evacuations",
-            { { "data_centres", names }, { "version", std::to_string(current.version) }, { "source", source } });
+            { { "data_centres", names }, { "servers", std::to_string(affected) },
+                { "version", std::to_string(state.version) },
+                { "source", fromCoordinator ? "coordinator" : "store" } });
     }
-    this->placement->setEvacuations(current);
+    this->placement->setEvacuations(this->evacuations.state());
+    // Jobs that wait here because the coordinator did not know of the evacuation go to it.
+    if (fromCoordinator)
+        this->placement->handWaitingJobsOver();
     if (!this->coordinator)
         return;
-    this->coordinator->setEvacuations(current);
+    this->coordinator->setEvacuations(this->evacuations.state());
     this->runCoordinator();
 }
 
@@ -191,6 +202,7 @@
         this->receivedState.apply(datagram, this->coordinator != nullptr, this->reactor.now());
     if (this->hasReceivedBeacon)
         this->placement->onCoordinatorContact(datagram.term());
+    this->placement->preferOwnList(!this->coordinator && this->receivedState.prefersOwnList(this->reactor.now()));
     this->placement->receive(datagram);
 }
 
@@ -219,8 +231,6 @@
                 { { "service", service }, { "reason", errorOf(updated).message },
                     { "remedy", errorOf(updated).remedy } });
     };
-    callbacks.onEvacuations
-        = [this](const fleet::EvacuationState& state) { this->setEvacuations(state, "coordinator"); };
     this->receivedState.setCallbacks(std::move(callbacks));
     this->onVersionAnnounced = std::move(versionCallback);
 }
@@ -422,7 +432,7 @@
     this->sendDatagrams(this->coordinator->makeBeacons({ this->incarnation, this->election.isResigning(),
         this->election.suspectsStoreOutage(now)
             || this->coordinator->maxProcessorShare() >= handoverShareRatio * this->processorShare,
-        toMillis(now - this->lastStoreContact()) }));
+        toMillis(now - this->serverListReadAt) }));
 }
 
 void CoordinationTask::loadPlans(std::uint64_t term)
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration cleanupInterval = std::chrono::seconds(1);
-constexpr Duration dataSourceInterval = std::chrono::milliseconds(200);
 // The platform stops sending connections after two failed readiness checks, which are a second apart.
 constexpr Duration platformDetectionTime = std::chrono::milliseconds(2600);
 // The process exits this long before the platform would kill it.
@@ -31,6 +30,7 @@
 
 NodeService::NodeService(const runtime::ProgramContext& context)
     : terminationGracePeriod(context.settings.duration("edge", "grace"))
+    , listTimes(fleet::serverListTimes(context.settings.duration("servers", "drain_bound")))
     , events(context.events)
     , reactor(g_main_context_default(), context.clock)
     , store(
@@ -59,9 +59,12 @@
         });
     if (settings.duration("evacuation", "bound") > Duration::zero())
         this->configurationWatcher->setEvacuationCallback(
-            [this](const fleet::EvacuationState& state) { this->coordination->setEvacuations(state, "store"); });
+            [this](const fleet::EvacuationState& state, bool fromCoordinator) {
+                this->coordination->setEvacuations(state, fromCoordinator);
+            });
     this->serverWatcher = std::make_unique<ServerWatcher>(
-        this->reactor, this->store, this->events, [this](const fleet::ServerMap& listedServers) {
+        this->reactor, this->store, this->events, this->listTimes.readInterval,
+        [this](const fleet::ServerMap& listedServers) {
             for (const auto& [id, entry] : this->knownServers) {
                 auto found = listedServers.find(id);
                 if (found == listedServers.end() || found->second.instance != entry.instance)
@@ -69,7 +72,8 @@
             }
             this->knownServers = listedServers;
             this->coordination->setServers(listedServers);
-        });
+        },
+        [this](TimePoint started) { this->coordination->onServerListRead(started); });
     auto readyAddress = net::SocketAddress::parse(settings.text("edge", "ready_listen"));
     auto edgeAddress = net::SocketAddress::parse(settings.text("edge", "listen"));
     if (!succeeded(readyAddress))
@@ -104,6 +108,8 @@
             this->serverWatcher->confirmCoordinatorList();
     };
     callbacks.onConfiguration = [this](const std::string& text) { this->configurationWatcher->applyReceived(text); };
+    callbacks.onEvacuations
+        = [this](const fleet::EvacuationState& state) { this->configurationWatcher->applyReceivedEvacuations(state); };
     this->coordination->setStateCallbacks(std::move(callbacks),
         [this](std::uint64_t version) { this->configurationWatcher->onVersionAnnounced(version); });
     this->configurationWatcher->start();
@@ -125,7 +131,7 @@
     this->configurationWatcher->setSource(directoryCurrent ? Source::Coordinator
             : coordinatorAlive                             ? Source::StoreWithCoordinator
                                                            : Source::Store);
-    this->reactor.scheduleAfter(dataSourceInterval, [this] { this->updateDataSources(); });
+    this->reactor.scheduleAfter(this->listTimes.checkInterval, [this] { this->updateDataSources(); });
 }
 
 bool NodeService::isReady() const
@@ -170,6 +176,8 @@
     add("sequoia_servers_age_seconds", "gauge", "Time since the store last answered about backend servers.",
         seconds(this->serverWatcher->lastStoreContact()));
     add("sequoia_servers", "gauge", "Backend servers known.", count(this->serverWatcher->servers().size()));
+    add("sequoia_evacuated_data_centres", "gauge", "Data centres whose backend servers get no requests.",
+        count(this->configurationWatcher->evacuatedDataCentres()));
     add("sequoia_waiting_jobs", "gauge", "Requests of this host that wait for a backend server.",
         count(this->coordination->waitingJobs()));
     add("sequoia_uses_coordinator", "gauge", "1 when a coordinator places the requests of this host.",
