--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -43,7 +43,7 @@
     void setSlotShare(double share) { this->slotShare = share; }
     //! Sets the limits of cold servers. With `avoid`, cold servers get no jobs at all, since other schedulers may use
     //! them at the same time.
-    void setColdLimits(const ColdLimitsByService& limits, bool avoid);
+    void setColdLimits(const ColdLimitsByService& limits, bool avoid, TimePoint now);
     //! Makes schedulers with different seeds prefer different servers among about equal ones. Zero: no preference.
     void setSpreadSeed(std::uint64_t seed) { this->spreadSeed = seed; }
     //! Sets the one-way delay between data centres. Where it is long, jobs of services without keys stay in the data
@@ -75,6 +75,8 @@
     //! Measured average service time of the jobs of the service.
     Duration averageServiceTime(const std::string& service) const;
     const std::map<std::string, ServerLoad>& servers() const { return this->loads; }
+    //! Jobs that have had to wait because their server was cold and had reached its limit.
+    std::uint64_t jobsHeldByColdLimit() const { return this->heldByColdLimit; }
     std::uint64_t jobsWaitingOrPlaced() const { return this->placements.size() + this->waitingJobs(); }
 
 private:
@@ -87,7 +89,10 @@
     };
 
     Pool& poolOf(const std::string& service);
-    void applyColdLimits(ServerLoad& load, TimePoint now) const;
+    void applyColdLimits(ServerLoad& load, TimePoint knownSince, TimePoint now) const;
+    //! Time since which all requests to a server that is new in the list are known here.
+    TimePoint requestsKnownSince(const std::string& server) const;
+    bool isHeldByColdLimit(const Pool& pool, const std::string& queue, TimePoint now) const;
     std::string queueNameOf(const Job& job) const;
     void requeueAfterOwnerChange(Pool& pool, TimePoint now);
     //! Whether the server still owns the key of a job in its queue.
@@ -119,6 +124,9 @@
     Duration dataCentreDistance {};
     ColdLimitsByService coldLimits;
     bool avoidCold = false;
+    std::map<std::string, TimePoint> removedServers; //!< of services with limits, with the time of their removal
+    std::uint64_t heldByColdLimit = 0;
+    bool hasPlacedJobs = false;
     std::optional<TimePoint> firstServersAt; //!< jobs placed before then are not known here
     double slotShare = 1;
     std::uint64_t spreadSeed = 0;
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -17,10 +17,14 @@
     explicit ServerLoad(fleet::ServerEntry entry, TimePoint now);
 
     void update(const fleet::ServerEntry& entry, TimePoint now);
-    //! Sets the limits for the time while the server is cold; see ColdRateLimiter for `ownsHistory`.
-    void setColdLimits(const ColdLimits& limits, bool ownsHistory, TimePoint now);
+    //! Sets the limits for the time while the server is cold; see ColdRateLimiter for `knownSince`.
+    void setColdLimits(const ColdLimits& limits, TimePoint knownSince, TimePoint now);
+    //! Limits the requests of a server that is new until its entry must show whether it is cold.
+    void assumeColdAtStart(TimePoint now);
     //! Whether the server is cold, or may be, so that its requests are limited.
-    bool isCold(TimePoint now) const { return this->coldLimiter && now < this->coldUntil; }
+    bool isCold(TimePoint now) const;
+    //! Whether the server may get no request now since it is cold.
+    bool isHeldByColdLimit(TimePoint now) const { return this->isCold(now) && !this->coldLimiter->mayStart(now); }
     //! Most requests per second that the server may get now; zero if they are not limited.
     double coldRate(TimePoint now) const
     {
@@ -41,6 +45,8 @@
     //! that may be used.
     bool hasFreeSlot(unsigned extra, double share, TimePoint now) const;
     bool isUsable(TimePoint now) const;
+    //! Jobs that the server finishes per average service time; zero while it is not usable.
+    double jobsPerServiceTime(Duration averageServiceTime, TimePoint now) const;
     //! Records that the server wants no job from a host until a time.
     void pauseFor(std::uint64_t host, TimePoint until);
     //! End of the pause that the server asked a host for; in the past if there is none.
@@ -56,8 +62,9 @@
 
 private:
     void suspend(Duration time, TimePoint now);
-    void assumeCold(TimePoint now);
-    void updateColdUntil(TimePoint now);
+    void assumeCold(Duration time, TimePoint now);
+    void assumeColdAfterLoss(TimePoint now);
+    Duration coldTimeOfEntry() const;
     //! Weight of the measurements, which decays from 1 to 0 after the last one.
     double sampleWeight(TimePoint now) const;
 
@@ -66,6 +73,7 @@
         TimePoint start; //!< estimated start of the work on the job
         bool queued = false; //!< all slots were taken, so that the job waits at the server
         bool wasQueued = false; //!< the job has waited at the server before
+        double coldTokens = 0; //!< taken from the limiter for the job
     };
 
     void startQueued(TimePoint now);
@@ -79,6 +87,7 @@
     TimePoint suspendedUntil {};
     std::optional<ColdRateLimiter> coldLimiter; //!< null if the service has no limits
     TimePoint coldUntil {};
+    TimePoint knownSince {};
     TimePoint lastAnswer {};
     TimePoint lastSample {};
     std::map<std::uint64_t, TimePoint> lastUse; //!< by host
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -36,8 +36,6 @@
 constexpr double maxRetryAfterFraction = 1.0 / 3;
 // Waiting jobs are checked against their deadlines this often.
 constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(50);
-// A scheduler that has known the servers for this time knows all requests that count against the limits of cold ones.
-constexpr Duration historyPeriod = std::chrono::milliseconds(1500);
 // A placed job whose end is not reported is dropped this long after its deadline.
 constexpr Duration missingReportTimeout = std::chrono::milliseconds(500);
 
@@ -131,17 +129,27 @@
 
 void Scheduler::setServers(const fleet::ServerMap& servers, TimePoint now)
 {
-    std::erase_if(this->loads, [&](const auto& entry) { return !servers.contains(entry.first); });
-    if (!this->firstServersAt)
-        this->firstServersAt = now;
+    std::erase_if(this->loads, [&](const auto& entry) {
+        bool removed = !servers.contains(entry.first);
+        if (removed && this->coldLimits.contains(entry.second.entry().service))
+            this->removedServers[entry.first] = now;
+        return removed;
+    });
+    std::erase_if(
+        this->removedServers, [&](const auto& entry) { return now - entry.second > ColdRateLimiter::window; });
+    bool isFirstList = !this->firstServersAt;
+    this->firstServersAt = this->firstServersAt.value_or(now);
     for (const auto& [id, entry] : servers) {
         auto [found, added] = this->loads.try_emplace(id, entry, now);
-        this->applyColdLimits(found->second, now);
-        if (added)
-            continue;
-        if (found->second.entry().instance != entry.instance)
+        this->applyColdLimits(found->second, added ? this->requestsKnownSince(id) : now, now);
+        bool restarted = found->second.entry().instance != entry.instance;
+        if (restarted)
             this->quarantine.recordCrash(id, now);
-        found->second.update(entry, now);
+        if (!added)
+            found->second.update(entry, now);
+        // A host that avoids cold servers does not know whether others place jobs.
+        if ((this->hasPlacedJobs || this->avoidCold) && (restarted || (added && !isFirstList)))
+            found->second.assumeColdAtStart(now);
     }
     for (auto& [service, pool] : this->pools) {
         pool->members.clear();
@@ -153,22 +161,36 @@
     }
 }
 
-void Scheduler::setColdLimits(const ColdLimitsByService& limits, bool avoid)
+void Scheduler::setColdLimits(const ColdLimitsByService& limits, bool avoid, TimePoint now)
 {
     this->coldLimits = limits;
     this->avoidCold = avoid;
     for (auto& [id, load] : this->loads)
-        this->applyColdLimits(load, this->firstServersAt.value_or(TimePoint()));
+        this->applyColdLimits(load, now, now);
 }
 
-void Scheduler::applyColdLimits(ServerLoad& load, TimePoint now) const
+void Scheduler::applyColdLimits(ServerLoad& load, TimePoint knownSince, TimePoint now) const
 {
     auto found = this->coldLimits.find(load.entry().service);
     auto limits = found == this->coldLimits.end() ? ColdLimits {} : found->second;
-    if (this->avoidCold)
-        limits.burst = 0;
-    bool ownsHistory = this->firstServersAt && now - *this->firstServersAt > historyPeriod;
-    load.setColdLimits(limits, ownsHistory, now);
+    limits.avoid = this->avoidCold;
+    load.setColdLimits(limits, knownSince, now);
+}
+
+// A server that is missing from one list only, as after a reading error, has had requests shortly before.
+TimePoint Scheduler::requestsKnownSince(const std::string& server) const
+{
+    auto removed = this->removedServers.find(server);
+    auto since = this->firstServersAt.value_or(TimePoint());
+    return removed == this->removedServers.end() ? since : std::max(since, removed->second);
+}
+
+bool Scheduler::isHeldByColdLimit(const Pool& pool, const std::string& name, TimePoint now) const
+{
+    return !this->coldLimits.empty()
+        && std::any_of(pool.members.begin(), pool.members.end(), [&](const ServerLoad* load) {
+               return (!pool.keyed || load->entry().instance.id == name) && load->isHeldByColdLimit(now);
+           });
 }
 
 void Scheduler::setOtherHostsInFlight(const std::string& server, unsigned count)
@@ -259,6 +281,8 @@
     // A job that is still waiting is refused at once if it cannot meet its deadline.
     position = queue.find(rank);
     if (position != queue.end()) {
+        if (this->isHeldByColdLimit(pool, name, now))
+            ++this->heldByColdLimit;
         auto ahead = Pool::countAhead(queue, rank, now + pool.averageServiceTime());
         if (auto refusal = this->waitRefusal(pool, name, job, ahead, now)) {
             queue.erase(position);
@@ -505,19 +529,16 @@
 
 double Scheduler::capacity(Pool& pool, const std::string& name, TimePoint now) const
 {
-    auto jobsPerAverageTime = [&](const ServerLoad& load) {
-        return load.isUsable(now) ? load.entry().slots / load.slowness(pool.averageServiceTime(), now) : 0;
-    };
     if (pool.keyed) {
         auto load = this->loads.find(name);
-        return load == this->loads.end() ? 0 : jobsPerAverageTime(load->second);
+        return load == this->loads.end() ? 0 : load->second.jobsPerServiceTime(pool.averageServiceTime(), now);
     }
     if (now - pool.effectiveSlotsTime < deadlineCheckInterval)
         return pool.effectiveSlots;
     pool.effectiveSlotsTime = now;
     pool.effectiveSlots = 0;
     for (const auto* load : pool.members)
-        pool.effectiveSlots += jobsPerAverageTime(*load);
+        pool.effectiveSlots += load->jobsPerServiceTime(pool.averageServiceTime(), now);
     return pool.effectiveSlots;
 }
 
@@ -555,6 +576,7 @@
     Pool& pool, const Job& job, const std::string& server, TimePoint now, std::vector<SchedulingDecision>& decisions)
 {
     this->loads.at(server).jobPlaced(job.id, now);
+    this->hasPlacedJobs = true;
     this->placements[job.id] = { server, pool.service, job.fingerprint, job.deadline + missingReportTimeout };
     decisions.emplace_back(JobPlacement { job.id, server });
 }
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace sequoia::balance {
 
@@ -29,6 +30,8 @@
 // A refused connection shows that the server is down only if it has not answered any host for this time. Otherwise the
 // network of the host that reports it may be at fault.
 constexpr Duration answerValidity = std::chrono::milliseconds(500);
+// An entry shows within this time that its server is cold: servers write it every 0.87 s, hosts read it every 0.8 s.
+constexpr Duration entryDelay = std::chrono::seconds(2);
 constexpr Duration slownessCacheTime = std::chrono::milliseconds(20);
 // Time constant with which the measurements decay without new answers, so that a slow or failing server is tried again.
 constexpr double decayTimeConstantMicros = 3e6;
@@ -38,6 +41,7 @@
 ServerLoad::ServerLoad(fleet::ServerEntry entry, TimePoint now)
     : serverEntry(std::move(entry))
     , warmUpEnd(now + this->serverEntry.warmupLeft)
+    , knownSince(now)
 {
 }
 
@@ -47,50 +51,74 @@
         auto limiter = this->coldLimiter;
         *this = ServerLoad(entry, now);
         this->coldLimiter = limiter;
-        this->updateColdUntil(now);
+        this->assumeCold(this->coldTimeOfEntry(), now);
         return;
     }
-    bool wasDraining = this->serverEntry.state == fleet::ServerState::Draining;
-    this->serverEntry = entry;
+    auto previous = std::exchange(this->serverEntry, entry);
     this->warmUpEnd = std::max(this->warmUpEnd, now + entry.warmupLeft);
-    this->updateColdUntil(now);
+    // The same entry again says nothing new: a list that is not read for a while would keep the server cold.
+    if (entry.warmupLeft != previous.warmupLeft || entry.cold != previous.cold)
+        this->assumeCold(this->coldTimeOfEntry(), now);
     // After an evacuation servers are cold, and their entries show it only with the next heartbeat.
-    if (wasDraining && entry.state == fleet::ServerState::Ready)
-        this->assumeCold(now);
+    if (this->coldLimiter && previous.state == fleet::ServerState::Draining && entry.state == fleet::ServerState::Ready)
+        this->assumeCold(this->coldLimiter->limits().period, now);
 }
 
-void ServerLoad::setColdLimits(const ColdLimits& limits, bool ownsHistory, TimePoint now)
+void ServerLoad::setColdLimits(const ColdLimits& limits, TimePoint requestsKnownSince, TimePoint now)
 {
     if (limits.requestsPerSecond <= 0) {
         this->coldLimiter.reset();
         return;
     }
-    if (this->coldLimiter && this->coldLimiter->limits() == limits)
+    if (this->coldLimiter) {
+        if (this->coldLimiter->limits() != limits)
+            this->coldLimiter->setLimits(limits, now);
         return;
-    this->coldLimiter.emplace(limits, ownsHistory, now);
-    this->updateColdUntil(now);
+    }
+    this->coldLimiter.emplace(limits, requestsKnownSince, now);
+    this->assumeCold(this->coldTimeOfEntry(), now);
 }
 
-void ServerLoad::updateColdUntil(TimePoint now)
+// A host that places jobs on its own follows the coordinator's mark for as long as the list has it: the coordinator may
+// have found the server cold again, which does not change the mark.
+bool ServerLoad::isCold(TimePoint now) const
 {
     if (!this->coldLimiter)
-        return;
-    auto left = this->serverEntry.cold ? this->coldLimiter->limits().period : this->serverEntry.warmupLeft;
-    if (left > Duration::zero())
-        this->coldUntil = std::max(this->coldUntil, now + left);
+        return false;
+    return now < this->coldUntil || (this->coldLimiter->limits().avoid && this->serverEntry.cold);
+}
+
+Duration ServerLoad::coldTimeOfEntry() const
+{
+    if (this->serverEntry.cold && this->coldLimiter)
+        return std::max(this->serverEntry.warmupLeft, this->coldLimiter->limits().period);
+    return this->serverEntry.warmupLeft;
+}
+
+void ServerLoad::assumeCold(Duration time, TimePoint now)
+{
+    if (this->coldLimiter && time > Duration::zero())
+        this->coldUntil = std::max(this->coldUntil, now + time);
 }
 
-void ServerLoad::assumeCold(TimePoint now)
+void ServerLoad::assumeColdAtStart(TimePoint now)
 {
     if (this->coldLimiter)
-        this->coldUntil = std::max(this->coldUntil, now + this->coldLimiter->limits().period);
+        this->assumeCold(std::min(this->coldLimiter->limits().period, entryDelay), now);
+}
+
+// A server that was down is cold when it is back, and its entry may be older than its restart. If it still answers
+// others, the network of the reporting host is at fault, or the server is full and resets connections.
+void ServerLoad::assumeColdAfterLoss(TimePoint now)
+{
+    if (this->coldLimiter && now - std::max(this->lastAnswer, this->knownSince) > answerValidity)
+        this->assumeCold(this->coldLimiter->limits().period, now);
 }
 
 void ServerLoad::jobPlaced(JobId job, TimePoint now)
 {
-    this->jobs[job] = { now, this->inFlight() >= this->serverEntry.slots, false };
-    if (this->coldLimiter)
-        this->coldLimiter->recordStart(now);
+    double coldTokens = this->coldLimiter ? this->coldLimiter->recordStart(now) : 0;
+    this->jobs[job] = { now, this->inFlight() >= this->serverEntry.slots, false, coldTokens };
 }
 
 Duration ServerLoad::serviceTime(JobId job, Duration elapsed, TimePoint now) const
@@ -114,13 +142,16 @@
             first = &job;
     }
     if (first)
-        *first = { now, false, true };
+        *first = { now, false, true, first->coldTokens };
 }
 
 void ServerLoad::jobEnded(JobId job, JobResult result, Duration elapsed, Duration averageServiceTime, TimePoint now)
 {
-    if (this->jobs.erase(job) == 0)
+    auto placed = this->jobs.find(job);
+    if (placed == this->jobs.end())
         return;
+    double coldTokens = placed->second.coldTokens;
+    this->jobs.erase(placed);
     this->startQueued(now);
     if (result == JobResult::Answered || result == JobResult::ServerError)
         this->lastUse[job.host] = this->lastAnswer = now;
@@ -151,21 +182,21 @@
         break;
     case JobResult::ConnectFailed:
         ++this->consecutiveFailures;
-        // A server that was down is cold when it is back, and its entry may be older than its restart.
-        if (now - this->lastAnswer > answerValidity)
-            this->assumeCold(now);
+        this->assumeColdAfterLoss(now);
         this->suspend(initialSuspension * (1U << std::min(this->consecutiveFailures - 1, 6U)), now);
         break;
     case JobResult::Lost:
         addSample(this->averageFailures, 1);
-        if (++this->consecutiveFailures >= suspensionThreshold)
+        if (++this->consecutiveFailures >= suspensionThreshold) {
+            this->assumeColdAfterLoss(now);
             this->suspend(
                 initialSuspension * (1U << std::min(this->consecutiveFailures - suspensionThreshold, 6U)), now);
+        }
         break;
     case JobResult::WrongOwner:
         ++this->consecutiveFailures;
         if (this->coldLimiter)
-            this->coldLimiter->undoStart(now);
+            this->coldLimiter->undoStart(coldTokens, now);
         this->suspend(wrongOwnerSuspension * (1U << std::min(this->consecutiveFailures - 1, 6U)), now);
         break;
     case JobResult::Abandoned:
@@ -193,8 +224,17 @@
 bool ServerLoad::hasFreeSlot(unsigned extra, double share, TimePoint now) const
 {
     auto maxJobs = std::max(1.0, std::ceil((this->serverEntry.slots + extra) * share));
-    bool mayStart = !this->isCold(now) || this->coldLimiter->mayStart(now);
-    return mayStart && this->isUsable(now) && this->inFlight() < static_cast<unsigned>(maxJobs);
+    return !this->isHeldByColdLimit(now) && this->isUsable(now) && this->inFlight() < static_cast<unsigned>(maxJobs);
+}
+
+double ServerLoad::jobsPerServiceTime(Duration averageServiceTime, TimePoint now) const
+{
+    if (!this->isUsable(now))
+        return 0;
+    double jobs = this->serverEntry.slots / this->slowness(averageServiceTime, now);
+    if (!this->isCold(now))
+        return jobs;
+    return std::min(jobs, this->coldRate(now) * std::chrono::duration<double>(averageServiceTime).count());
 }
 
 double ServerLoad::slowness(Duration averageServiceTime, TimePoint now) const
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -51,7 +51,7 @@
     void setServers(const fleet::ServerMap& servers);
     //! Takes the keys from the servers of these data centres and sends the state to all hosts.
     void setEvacuations(const fleet::EvacuationState& state);
-
+    //! Limits the requests to cold servers, and marks these in the list that hosts get.
     void setColdLimits(const balance::ColdLimitsByService& limits);
     //! Processes a datagram of a host.
     void receive(const wire::Datagram& datagram, const std::string& address);
@@ -78,6 +78,8 @@
     std::uint64_t term() const { return this->currentTerm; }
     std::size_t hostCount() const { return this->hosts.size(); }
     std::size_t waitingJobs() const { return this->scheduler.waitingJobs(); }
+    std::size_t coldServers() const;
+    std::uint64_t jobsHeldByColdLimit() const { return this->scheduler.jobsHeldByColdLimit(); }
     //! Largest processor share among the stable hosts.
     double maxProcessorShare() const;
     //! Largest processor share among the stable hosts that reached the store recently.
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -39,7 +39,10 @@
     void setServers(const fleet::ServerMap& servers);
     void setEvacuations(const fleet::EvacuationState& state);
     //! Services whose cold servers get no jobs that this host places locally.
-    void setColdLimits(const balance::ColdLimitsByService& limits) { this->scheduler.setColdLimits(limits, true); }
+    void setColdLimits(const balance::ColdLimitsByService& limits)
+    {
+        this->scheduler.setColdLimits(limits, true, this->clock.now());
+    }
     //! Number of hosts that share the retry budget while each of them places its jobs locally. The times after which a
     //! job is submitted again or placed locally depend on it, too.
     void setHostCount(std::uint32_t hosts);
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -125,7 +125,15 @@
 void Coordinator::setColdLimits(const balance::ColdLimitsByService& limits)
 {
     this->limitsColdServers = !limits.empty();
-    this->scheduler.setColdLimits(limits, false);
+    this->scheduler.setColdLimits(limits, false, this->clock.now());
+}
+
+std::size_t Coordinator::coldServers() const
+{
+    auto now = this->clock.now();
+    const auto& loads = this->scheduler.servers();
+    return static_cast<std::size_t>(
+        std::count_if(loads.begin(), loads.end(), [now](const auto& entry) { return entry.second.isCold(now); }));
 }
 
 // Without this coordinator, hosts would place jobs on cold servers independently and exceed their limits.
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -25,6 +25,8 @@
 // The coordinator role goes to a host with this many times the processor share. A handover costs callers some tenths of
 // a second, so a small difference does not justify it.
 constexpr double handoverShareRatio = 2;
+// Changes of the number of cold servers are logged this often.
+constexpr Duration coldServerLogInterval = std::chrono::seconds(1);
 constexpr Duration planReadRetryInterval = std::chrono::milliseconds(150);
 
 }
@@ -101,6 +103,21 @@
         this->coordinator->setColdLimits(limits);
 }
 
+void CoordinationTask::logColdServers()
+{
+    auto now = this->reactor.now();
+    if (now - this->coldServersLoggedAt < coldServerLogInterval)
+        return;
+    this->coldServersLoggedAt = now;
+    auto count = this->coordinator->coldServers();
+    if (count == this->loggedColdServers)
+        return;
+    this->loggedColdServers = count;
+    this->events.record(timeline::Severity::Info, "cold_servers",
+        { { "count", std::to_string(count) }, { "held_back", std::to_string(this->coordinator->jobsHeldByColdLimit()) },
+            { "reason", "their requests are limited until they are warm" } });
+}
+
 void CoordinationTask::setServers(const fleet::ServerMap& listedServers)
 {
     this->servers = listedServers;
@@ -454,6 +471,7 @@
 void CoordinationTask::stopCoordinating(const std::string& reason)
 {
     this->events.record(timeline::Severity::Warn, "coordinator", { { "change", "lost" }, { "reason", reason } });
+    this->loggedColdServers = 0;
     this->coordinator.reset();
     this->placement->onCoordinatorLost();
 }
@@ -468,6 +486,7 @@
     this->sendDatagrams(this->coordinator->takeReplies());
     if (!this->coordinator)
         return;
+    this->logColdServers();
     if (this->coordinator->isSuperseded()) {
         this->execute(this->election.higherFenceSeen(now));
         return;
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -37,7 +37,7 @@
     void setServers(const fleet::ServerMap& servers);
     //! Takes what this host has read; `source` is for the log.
     void setEvacuations(const fleet::EvacuationState& state, const char* source);
-    //! Applies changed figures: retry budget, longest lease, processor share and link speed.
+    //! Applies changed figures: retry budget, longest lease, limits of cold servers, processor share and link speed.
     void reload(const settings::Settings& settings);
     edge::Placer& placer() { return *this->placement; }
     //! Whether a coordinator has been found, so that jobs of keyed services can be placed.
@@ -70,6 +70,7 @@
     void scheduleFlush();
     void flush();
     void applyColdLimits();
+    void logColdServers();
     void sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages);
     void scheduleTick();
     void tick();
@@ -119,6 +120,8 @@
     bool shuttingDown = false;
     bool flushScheduled = false;
     bool runScheduled = false;
+    TimePoint coldServersLoggedAt {};
+    std::size_t loggedColdServers = 0;
     TimePoint lastReportSent {};
     TimePoint lastBeaconSent {};
 };
--- a/programs/node/src/LibraryOptions.cpp
+++ b/programs/node/src/LibraryOptions.cpp
@@ -1,7 +1,5 @@
 #include "LibraryOptions.h"
 
-#include <algorithm>
-
 namespace sequoia::node {
 
 balance::SchedulerOptions makeSchedulerOptions(const settings::Settings& settings)
@@ -18,8 +16,6 @@
     return { settings.real("cold_servers", "rate_factor"), settings.real("cold_servers", "slack") };
 }
 
-// Requests are sent at the rate that the servers sustain, with the allowed slack as burst. What the factor allows
-// beyond that rate is left for requests that arrive closer together than they were sent.
 balance::ColdLimitsByService makeColdLimits(ColdServerBounds bounds, const fleet::Configuration& configuration)
 {
     balance::ColdLimitsByService limits;
@@ -27,8 +23,8 @@
         return limits;
     for (const auto& [name, service] : configuration.services) {
         if (service.coldRequestsPerSecond > 0)
-            limits[name] = { service.coldRequestsPerSecond * std::min(1.0, bounds.rateFactor),
-                std::max(1.0, bounds.slack), service.coldPeriod };
+            limits[name] = balance::ColdLimits::within(
+                service.coldRequestsPerSecond, bounds.rateFactor, bounds.slack, service.coldPeriod);
     }
     return limits;
 }
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -182,6 +182,11 @@
         coordinator ? count(coordinator->hostCount()) : 0);
     add("sequoia_coordinator_waiting_jobs", "gauge", "Requests of all hosts that wait here.",
         coordinator ? count(coordinator->waitingJobs()) : 0);
+    add("sequoia_coordinator_cold_servers", "gauge", "Cold servers, whose requests this coordinator limits.",
+        coordinator ? count(coordinator->coldServers()) : 0);
+    add("sequoia_coordinator_cold_held_back_total", "counter",
+        "Requests that have waited since their server was cold, in this tenure.",
+        coordinator ? count(coordinator->jobsHeldByColdLimit()) : 0);
     return { 200, text };
 }
 
@@ -199,7 +204,7 @@
     this->store.setAddress(settings.text("store", "address"));
     this->coordination->reload(settings);
     return { "edge.grace", "store.address", "node.processor_share", "node.link_megabits", "grants.longest_hold",
-        "repeats.ratio", "repeats.slack", "repeats.window" };
+        "repeats.ratio", "repeats.slack", "repeats.window", "cold_servers.rate_factor", "cold_servers.slack" };
 }
 
 void NodeService::stop(std::function<void()> finished)
