--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -39,7 +39,7 @@
     void onServerListRead(TimePoint started);
     //! Takes the newest state that this host knows.
     void setEvacuations(const fleet::EvacuationState& state, bool fromCoordinator);
-    //! Applies changed figures: retry budget, longest lease, processor share and link speed.
+    //! Applies changed figures: retry budget, longest lease, limits of cold servers, processor share and link speed.
     void reload(const settings::Settings& settings);
     edge::Placer& placer() { return *this->placement; }
     //! Whether a coordinator has been found, so that jobs of keyed services can be placed.
@@ -72,6 +72,7 @@
     void scheduleFlush();
     void flush();
     void applyColdLimits();
+    void logColdServers();
     void sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages);
     void scheduleTick();
     void tick();
@@ -122,6 +123,8 @@
     bool shuttingDown = false;
     bool flushScheduled = false;
     bool runScheduled = false;
+    TimePoint coldServersLoggedAt {};
+    std::size_t loggedColdServers = 0;
     TimePoint lastReportSent {};
     TimePoint lastBeaconSent {};
 };
