Count the fleet's traffic, and send configurations before other state

Cause: nothing showed what the bytes between hosts and at the store are for. Answers to requests for state shared one budget, so that the lists of some hosts that start together delayed a configuration by seconds on a slow link.

Change: FleetTraffic counts bytes and datagrams by purpose and data centre, StoreClient counts calls and bytes by kind; both are on the metrics page and in stop_finished. Datagrams to hosts leave out the sender, which no host reads.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -29,6 +29,7 @@
     bool resigned = false;
     bool requestStoreProbe = false; //!< standbys check whether they reach the store, and report it
     std::int64_t storeContactAgeMs = 0;
+    std::string dataCentre {}; //!< of the coordinator's own host
 };
 
 //! The coordinator during one term: manages the key leases of all keyed services, and places the jobs of all hosts,
@@ -78,6 +79,8 @@
     std::uint64_t term() const { return this->currentTerm; }
     std::size_t hostCount() const { return this->hosts.size(); }
     std::size_t waitingJobs() const { return this->scheduler.waitingJobs(); }
+    //! Data centre of the host with this address; empty when it is not known.
+    std::string dataCentreOf(const std::string& address) const;
     //! Largest processor share among the stable hosts.
     double maxProcessorShare() const;
     //! Largest processor share among the stable hosts that reached the store recently.
@@ -121,7 +124,13 @@
     void addDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     wire::Datagram& replyTo(const std::string& address);
     void publishOwners();
+    bool hasManyHosts() const;
     void answerStateRequests(Host& host, const wire::Report& report);
+    void answerStateRequest(Host& host, const wire::StateRequest& request, bool urgent);
+    //! Returns whether the bytes may be sent before the next beacons.
+    bool takeStateBytes(std::size_t bytes, bool urgent);
+    OutgoingDatagram makeBeacon(Host& host, const CoordinatorStatus& status, std::uint32_t standbyRank);
+    std::vector<OutgoingDatagram> makePredecessorBeacons() const;
     void setUnmanagedJobs(Host& host, std::map<std::string, unsigned> inFlight);
     bool isStable(const Host& host) const;
     bool hasStoreContact(const Host& host) const;
@@ -147,14 +156,17 @@
     fleet::ServerMap announcedServers; //!< as of the last round of beacons
     std::map<std::string, unsigned> unmanagedJobs; //!< of all hosts, by server
     TimePoint ownersPublishedAt {};
+    unsigned beaconRound = 0;
     StatePublisher publisher;
     std::uint64_t stateSequence = 0;
     std::size_t stateBytesPerRound;
-    std::size_t stateBytesLeft = 0; //!< that answers to requests may take until the next beacons
+    std::size_t stateBytesLeft = 0; //!< that answers to requests may take until the next beacons, except urgent ones
+    std::size_t urgentStateBytesLeft = 0; //!< that all answers may take until then
     std::vector<OutgoingDatagram> stateReplies;
     std::map<std::string, KeyedService, std::less<>> keyedServices;
     std::map<std::string, Host> hosts; //!< by incarnation
     std::map<std::uint64_t, std::string> addressOfHost;
+    std::map<std::string, std::string> dataCentreByAddress; //!< of the hosts that report
     std::map<std::string, wire::Datagram> replies; //!< by address
     std::vector<keyspace::KeyPlan> planWrites;
     std::vector<keyspace::LeaseOrder> leaseOrders;
--- a/libs/coordination/include/coordination/StateEncoding.h
+++ b/libs/coordination/include/coordination/StateEncoding.h
@@ -7,6 +7,7 @@
 
 #include <peer.pb.h>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoia::coordination {
@@ -15,6 +16,8 @@
 inline constexpr const char* serverGroup = "servers";
 inline constexpr const char* configurationGroup = "configuration";
 inline constexpr const char* evacuationGroup = "evacuations";
+//! Whether the state of a group has to be in effect within a bound, and is sent before that of others.
+bool isUrgentGroup(std::string_view group);
 //! Keeps a datagram within one Ethernet frame: the loss of one fragment would lose all of them.
 inline constexpr std::size_t maxPacketBytes = 1300;
 std::string ownerGroup(const std::string& service);
--- a/libs/coordination/include/coordination/StatePublisher.h
+++ b/libs/coordination/include/coordination/StatePublisher.h
@@ -14,7 +14,8 @@
 class StatePublisher {
 public:
     void publish(const std::string& group, std::vector<std::string> buckets);
-    void fillDigests(wire::Beacon& beacon) const;
+    //! Hosts remember the digests of owners that are left out.
+    void fillDigests(wire::Beacon& beacon, bool withOwners = true) const;
     //! Returns the buckets that a host lacks.
     std::vector<wire::StateBucket> differences(const wire::StateRequest& request) const;
 
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -4,8 +4,6 @@
 #include "coordination/StateEncoding.h"
 
 #include <algorithm>
-#include <limits>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -23,22 +21,10 @@
 constexpr Duration maxJobTime = std::chrono::hours(1);
 // A host counts as stable once it has reported for this time.
 constexpr Duration minStableTime = std::chrono::seconds(2);
-// A host reports the buckets that it lacks until it has received them, so an answer is not repeated sooner than this.
-constexpr Duration stateResendInterval = std::chrono::milliseconds(250);
-// Answers to requests for state between two rounds of beacons: a quarter of the link, so that placements are not
-// delayed.
-constexpr double stateShareOfLink = 0.25;
-constexpr double secondsPerRound = 0.15;
 constexpr double defaultLinkMegabits = 20;
-// Changes of the list of servers go to all hosts at once up to this size; hosts ask for larger ones.
-constexpr std::size_t maxAnnouncedBytes = std::size_t { 4 } * 1024;
 constexpr Duration distanceUpdateInterval = std::chrono::seconds(1);
-constexpr Duration ownerPublishInterval = std::chrono::seconds(1);
 // Number of standbys, which take over first when the coordinator is lost; several, since some may be lost with it.
 constexpr std::size_t standbyCount = 3;
-// Interval at which standbys get the addresses of all hosts, so their copy is about this old at most. The addresses of
-// a hundred hosts take some kilobytes.
-constexpr Duration addressListInterval = std::chrono::seconds(1);
 // Hosts report to the coordinator that they know, so they learn of a new one only from its beacons. The hosts of the
 // predecessor get beacons for this time.
 constexpr Duration predecessorHostsPeriod = std::chrono::seconds(2);
@@ -59,12 +45,6 @@
 
 Coordinator::~Coordinator() = default;
 
-void Coordinator::setLinkSpeed(double megabitsPerSecond)
-{
-    this->stateBytesPerRound
-        = static_cast<std::size_t>(megabitsPerSecond * 1e6 / 8 * stateShareOfLink * secondsPerRound);
-}
-
 void Coordinator::setKeyLeaseOptions(const keyspace::KeyLeaseOptions& options)
 {
     this->keyLeaseOptions = options;
@@ -308,6 +288,7 @@
     this->setUnmanagedJobs(host, std::move(inFlight));
     host.processorShare = report.strength();
     host.dataCentre = report.data_centre();
+    this->dataCentreByAddress[host.address] = host.dataCentre;
     host.roundTripTime = Duration(report.round_trip_us());
     host.leaving = report.leaving();
     if (report.store_contact_age_ms() < storeContactTimeoutMs) {
@@ -336,43 +317,6 @@
     }
 }
 
-void Coordinator::answerStateRequests(Host& host, const wire::Report& report)
-{
-    auto now = this->clock.now();
-    for (const auto& request : report.state_requests()) {
-        auto& sentAt = host.stateSentAt[request.group()];
-        if (sentAt != TimePoint() && now - sentAt < stateResendInterval)
-            continue;
-        auto buckets = this->publisher.differences(request);
-        std::size_t fitting = 0;
-        while (fitting < buckets.size() && buckets[fitting].content().size() <= this->stateBytesLeft)
-            this->stateBytesLeft -= buckets[fitting++].content().size();
-        if (fitting == 0)
-            continue;
-        sentAt = now;
-        buckets.resize(fitting);
-        for (auto& datagram : splitBuckets(buckets)) {
-            datagram.set_sequence(++this->stateSequence);
-            this->stateReplies.push_back({ host.address, std::move(datagram) });
-        }
-    }
-}
-
-// Owners change many times a second while keys are moved, and hosts need them only without a coordinator.
-void Coordinator::publishOwners()
-{
-    auto now = this->clock.now();
-    if (this->ownersPublishedAt != TimePoint() && now - this->ownersPublishedAt < ownerPublishInterval)
-        return;
-    this->ownersPublishedAt = now;
-    for (auto& [service, entry] : this->keyedServices) {
-        if (entry.publishedVersion == entry.leaseManager->version())
-            continue;
-        entry.publishedVersion = entry.leaseManager->version();
-        this->publisher.publish(ownerGroup(service), encodeOwners(entry.leaseManager->plan()));
-    }
-}
-
 bool Coordinator::takePeerStoreContact()
 {
     return std::exchange(this->peerStoreContact, false);
@@ -398,6 +342,7 @@
             this->setUnmanagedJobs(entry->second, {});
             this->scheduler.removeHost(entry->second.number, now);
             this->addressOfHost.erase(entry->second.number);
+            this->dataCentreByAddress.erase(entry->second.address);
             this->hosts.erase(entry);
         }
         entry = next;
@@ -510,70 +455,6 @@
     return ranks;
 }
 
-void Coordinator::fillHostAddresses(Host& host, wire::Beacon& beacon) const
-{
-    auto now = this->clock.now();
-    if (now - host.addressesSentAt < addressListInterval)
-        return;
-    host.addressesSentAt = now;
-    for (const auto& [incarnation, other] : this->hosts)
-        beacon.add_host_addresses(other.address);
-}
-
-std::vector<OutgoingDatagram> Coordinator::makeBeacons(const CoordinatorStatus& status)
-{
-    std::vector<OutgoingDatagram> result;
-    this->stateBytesLeft = this->stateBytesPerRound;
-    this->publishOwners();
-    if (this->markColdServers())
-        this->publisher.publish(serverGroup, encodeServers(this->servers));
-    auto changes = encodeServerChanges(this->announcedServers, this->servers, maxAnnouncedBytes);
-    this->announcedServers = this->servers;
-    auto ranks = this->standbyRanks(status.ownIncarnation);
-    if (this->started && this->clock.now() < this->predecessorHostsUntil) {
-        std::set<std::string> reportingAddresses;
-        for (const auto& [incarnation, host] : this->hosts)
-            reportingAddresses.insert(host.address);
-        for (const auto& address : this->predecessorHosts) {
-            if (reportingAddresses.contains(address))
-                continue;
-            OutgoingDatagram outgoing { address, {} };
-            // The beacon contains no server list yet, so that the host keeps using the one it has.
-            auto* beacon = outgoing.datagram.mutable_beacon();
-            beacon->set_store_contact_age_ms(std::numeric_limits<std::int64_t>::max());
-            beacon->set_hosts(static_cast<std::uint32_t>(this->predecessorHosts.size()));
-            beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
-            result.push_back(std::move(outgoing));
-        }
-    }
-    for (auto& [incarnation, host] : this->hosts) {
-        OutgoingDatagram outgoing { host.address, {} };
-        auto* beacon = outgoing.datagram.mutable_beacon();
-        beacon->set_store_contact_age_ms(status.storeContactAgeMs);
-        beacon->set_ask_store(status.requestStoreProbe);
-        auto rank = ranks.find(incarnation);
-        if (rank != ranks.end()) {
-            beacon->set_heir_rank(rank->second);
-            this->fillHostAddresses(host, *beacon);
-        }
-        outgoing.datagram.set_sequence(++this->stateSequence);
-        this->publisher.fillDigests(*beacon);
-        beacon->set_configuration_version(this->configuration ? this->configuration->version : 0);
-        beacon->set_hosts(static_cast<std::uint32_t>(this->hosts.size()));
-        beacon->set_resigned(status.resigned);
-        beacon->set_host_number(host.number);
-        // Changes go before the digests that cover them.
-        for (const auto& change : changes) {
-            OutgoingDatagram announcement { host.address, {} };
-            announcement.datagram.set_sequence(outgoing.datagram.sequence());
-            *announcement.datagram.mutable_server_changes() = change;
-            result.push_back(std::move(announcement));
-        }
-        result.push_back(std::move(outgoing));
-    }
-    return result;
-}
-
 bool Coordinator::isStable(const Host& host) const
 {
     return !host.leaving && this->clock.now() - host.firstReport >= minStableTime;
@@ -584,6 +465,12 @@
     return this->clock.now() - host.lastStoreContact < fromMillis(storeContactTimeoutMs);
 }
 
+std::string Coordinator::dataCentreOf(const std::string& address) const
+{
+    auto found = this->dataCentreByAddress.find(address);
+    return found == this->dataCentreByAddress.end() ? std::string() : found->second;
+}
+
 double Coordinator::maxProcessorShareWithStore() const
 {
     double largest = 0;
--- a/libs/coordination/src/StateEncoding.cpp
+++ b/libs/coordination/src/StateEncoding.cpp
@@ -50,6 +50,11 @@
 
 }
 
+bool isUrgentGroup(std::string_view group)
+{
+    return group == configurationGroup || group == evacuationGroup;
+}
+
 std::string ownerGroup(const std::string& service)
 {
     return std::string(ownerPrefix) + service;
--- a/libs/coordination/src/StatePublisher.cpp
+++ b/libs/coordination/src/StatePublisher.cpp
@@ -9,9 +9,11 @@
     this->groups[group].assign(std::move(buckets));
 }
 
-void StatePublisher::fillDigests(wire::Beacon& beacon) const
+void StatePublisher::fillDigests(wire::Beacon& beacon, bool withOwners) const
 {
     for (const auto& [name, group] : this->groups) {
+        if (!withOwners && !serviceOfOwnerGroup(name).empty())
+            continue;
         auto* digest = beacon.add_digests();
         digest->set_group(name);
         digest->set_digest(group.digest());
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -184,6 +184,8 @@
     }
     if (fromHost || datagram.term() < this->coordinatorTerm)
         return;
+    if (datagram.term() != this->coordinatorTerm)
+        this->coordinatorDataCentre.clear();
     this->coordinatorTerm = datagram.term();
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender);
@@ -206,6 +208,8 @@
     this->hasReceivedBeacon = true;
     this->lastBeaconReceived = this->reactor.now();
     this->placement->setHostCount(beacon.hosts());
+    if (!beacon.data_centre().empty())
+        this->coordinatorDataCentre = beacon.data_centre();
     if (beacon.host_number() != 0)
         this->placement->setHostNumber(beacon.host_number());
 }
@@ -257,23 +261,29 @@
         this->sendDatagrams(this->coordinator->takeReplies());
         return;
     }
-    if (!hasMessages)
-        return;
+    if (hasMessages)
+        this->sendToCoordinator(datagram);
+}
+
+void CoordinationTask::sendToCoordinator(wire::Datagram& datagram)
+{
     datagram.set_term(this->coordinatorTerm);
-    this->sender.send(datagram, this->election.coordinatorAddress());
+    this->sender.send(datagram, this->election.coordinatorAddress(),
+        coordination::trafficScope(this->dataCentre, this->coordinatorDataCentre));
 }
 
 void CoordinationTask::sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages)
 {
     for (const auto& message : messages) {
+        // Only the coordinator needs to know the sender, so the datagrams to hosts leave it out.
         auto datagram = message.datagram;
-        datagram.set_sender(this->incarnation);
         datagram.set_term(this->coordinator ? this->coordinator->term() : 0);
         if (message.address == this->address) {
             this->handleDatagram(datagram, this->address);
             continue;
         }
-        this->sender.send(datagram, message.address);
+        auto receiver = this->coordinator ? this->coordinator->dataCentreOf(message.address) : std::string();
+        this->sender.send(datagram, message.address, coordination::trafficScope(this->dataCentre, receiver));
     }
 }
 
@@ -322,8 +332,7 @@
         this->sendDatagrams(this->coordinator->takeReplies());
         return;
     }
-    datagram.set_term(this->coordinatorTerm);
-    this->sender.send(datagram, this->election.coordinatorAddress());
+    this->sendToCoordinator(datagram);
 }
 
 void CoordinationTask::execute(const std::vector<tenure::ElectionOutput>& outputs)
@@ -422,7 +431,7 @@
     this->sendDatagrams(this->coordinator->makeBeacons({ this->incarnation, this->election.isResigning(),
         this->election.suspectsStoreOutage(now)
             || this->coordinator->maxProcessorShare() >= handoverShareRatio * this->processorShare,
-        toMillis(now - this->lastStoreContact()) }));
+        toMillis(now - this->lastStoreContact()), this->dataCentre }));
 }
 
 void CoordinationTask::loadPlans(std::uint64_t term)
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -53,6 +53,7 @@
     bool isCoordinatorAlive() const;
     void closeExpiredConnections() { this->leaseOrderSender.closeExpiredConnections(); }
 
+    const coordination::FleetTraffic& traffic() const { return this->sender.traffic(); }
     std::uint64_t refusedDatagrams() const { return this->sender.refusedCount(); }
     std::size_t waitingJobs() const { return this->placement->waitingJobs(); }
     bool usesCoordinator() const { return this->placement->usesCoordinator(); }
@@ -70,6 +71,7 @@
     void scheduleFlush();
     void flush();
     void applyColdLimits();
+    void sendToCoordinator(wire::Datagram& datagram);
     void sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages);
     void scheduleTick();
     void tick();
@@ -113,6 +115,7 @@
     ReceivedState receivedState;
     TimePoint lastBeaconReceived {};
     std::uint64_t coordinatorTerm = 0;
+    std::string coordinatorDataCentre; //!< empty when it is not known
     bool hasReceivedBeacon = false;
     std::vector<std::string> knownHosts; //!< addresses, which a standby gets in beacons
     TimePoint lastRowContact {};
--- a/programs/node/src/DatagramSender.cpp
+++ b/programs/node/src/DatagramSender.cpp
@@ -14,15 +14,17 @@
 {
 }
 
-void DatagramSender::send(const wire::Datagram& datagram, const std::string& address)
+void DatagramSender::send(const wire::Datagram& datagram, const std::string& address, coordination::TrafficScope scope)
 {
     auto target = net::SocketAddress::parse(address);
     // No coordinator is known yet, or it has resigned.
     if (!succeeded(target))
         return;
     auto sent = this->socket->send(datagram.SerializeAsString(), valueOf(target));
-    if (succeeded(sent))
+    if (succeeded(sent)) {
+        this->sentTraffic.add(datagram, scope);
         return;
+    }
     ++this->refused;
     auto now = this->reactor.now();
     if (this->refused > 1 && now - this->lastLogged < refusalLogInterval)
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -182,7 +182,7 @@
         coordinator ? count(coordinator->hostCount()) : 0);
     add("sequoia_coordinator_waiting_jobs", "gauge", "Requests of all hosts that wait here.",
         coordinator ? count(coordinator->waitingJobs()) : 0);
-    return { 200, text };
+    return { 200, text + this->coordination->traffic().toText() + this->store.trafficText() };
 }
 
 void NodeService::runPeriodicCleanup()
@@ -231,13 +231,31 @@
     // A coordinator without a successor keeps placing the requests of other hosts.
     drained = drained && !this->coordination->isCoordinator();
     if (drained || elapsed >= this->terminationGracePeriod - exitMargin) {
-        this->events.record(timeline::Severity::Info, "stop_finished",
-            { { "connections_left", std::to_string(this->edge->connectionCount()) },
-                { "elapsed_ms", std::to_string(toMillis(elapsed)) } });
+        this->recordStop(elapsed);
         this->stopFinished();
         return;
     }
     this->reactor.scheduleAfter(stopCheckInterval, [this] { this->checkStop(); });
 }
 
+// The metrics are gone with the process, so its traffic is logged.
+void NodeService::recordStop(Duration elapsed)
+{
+    std::vector<wire::EventField> fields;
+    auto add = [&fields](const std::string& key, const std::string& value) {
+        auto& field = fields.emplace_back();
+        field.set_key(key);
+        field.set_value(value);
+    };
+    add("connections_left", std::to_string(this->edge->connectionCount()));
+    add("elapsed_ms", std::to_string(toMillis(elapsed)));
+    for (const auto& [name, value] : this->coordination->traffic().toFields())
+        add(name, value);
+    for (const auto& [kind, traffic] : this->store.traffic())
+        add("store_" + kind,
+            std::to_string(traffic.calls) + "/" + std::to_string(traffic.sentBytes) + "/"
+                + std::to_string(traffic.receivedBytes));
+    this->events.record(timeline::Severity::Info, "stop_finished", fields);
+}
+
 }
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -32,6 +32,7 @@
     void runPeriodicCleanup();
     void updateDataSources();
     void checkStop();
+    void recordStop(Duration elapsed);
 
     Duration terminationGracePeriod;
     timeline::EventLog& events;
