Let new hosts of a large fleet take the list of servers from the coordinator

Cause: every host reads the whole list at its start and after a change of the coordinator. With 300 hosts and 3,000 rows of 250 bytes that is 225 MB each time.

Change: ListReadPolicy decides. With more than 100 hosts, by the coordinator's row (new field) or its beacons, a host without a list waits for the copy for 1 to 4 s at 300 hosts, each host a different time, as long as beacons arrive. A host with a list waits only for the first confirmation of a new coordinator, and only if it has read the list within the last second. With 100 hosts or fewer a host reads as before, except that the first read starts with the answer about the coordinator's row and not with the process.

--- a/libs/coordination/tests/FleetBytesTest.cpp
+++ b/libs/coordination/tests/FleetBytesTest.cpp
@@ -1,11 +1,14 @@
 #include "coordination/Coordinator.h"
 #include "coordination/FleetTraffic.h"
+#include "coordination/ListReadPolicy.h"
 #include "coordination/PlacementClient.h"
 #include "coordination/StateEncoding.h"
 #include "coordination/StateReplica.h"
 #include "core/ManualClock.h"
 
 #include <doctest/doctest.h>
+#include <map>
+#include <set>
 
 using namespace sequoia;
 using namespace sequoia::coordination;
@@ -211,6 +214,35 @@
     CHECK(fleet.roundsUntilCurrent(configurationGroup, 40) <= 12);
 }
 
+// Guards against new hosts that read from the store what the coordinator has read for all: 75 lists of 3,000 rows are
+// some 50 MB.
+TEST_CASE("75 new hosts of 300 get the list from the coordinator before they would read it")
+{
+    Fleet fleet;
+    fleet.coordinator.setLinkSpeed(200);
+    RandomEngine random(3);
+    std::map<std::size_t, ListReadPolicy> policies;
+    for (std::size_t i = 0; i < hostCount; ++i) {
+        if (i % 4 == 0)
+            policies.emplace(i, ListReadPolicy(random, fleet.clock.now()));
+        else
+            fleet.hosts[i]->replica.assign(serverGroup, encodeServers(fleet.servers));
+    }
+    std::set<std::size_t> readers;
+    for (int rounds = 0; rounds < 40; ++rounds) {
+        fleet.round(false);
+        auto now = fleet.clock.now();
+        for (auto& [index, policy] : policies) {
+            policy.onBeacon(1, hostCount, now);
+            if (policy.mustRead({ fleet.hosts[index]->replica.isCurrent(serverGroup), false, {} }, now))
+                readers.insert(index);
+        }
+    }
+    CHECK(fleet.currentHosts(serverGroup) == hostCount);
+    MESSAGE("hosts that read the list: " << readers.size());
+    CHECK(readers.size() <= 15);
+}
+
 TEST_CASE("a configuration is sent before the list of servers that the same report asks for first")
 {
     Fleet fleet;
--- a/libs/tenure/include/tenure/CoordinatorElection.h
+++ b/libs/tenure/include/tenure/CoordinatorElection.h
@@ -126,6 +126,8 @@
     void setProcessorShare(double share) { this->options.processorShare = share; }
     //! Sets the number of hosts that report to this coordinator, itself included.
     void setReportingHosts(std::size_t count) { this->reportingHosts = count; }
+    //! Number of hosts in the fleet by the row that was read last; 0 when it is not known.
+    std::uint32_t storedHostCount() const { return this->hostsInRow; }
     //! Records that another host has reported to this coordinator.
     void peerReported(TimePoint now) { this->lastPeerReport = now; }
     //! Another host has reported that it reaches the store.
@@ -177,6 +179,7 @@
     //! Without a beacon until then, this host starts to read the row.
     TimePoint beaconDeadline {};
     unsigned standbyRank = 0;
+    std::uint32_t hostsInRow = 0; //!< of the row that was read last
     TimePoint lastRead {}; //!< sending time of the read in progress, or of the last one
     bool readInProgress = false;
     //! A reading of the store's clock, and a time of this host's clock that is not later.
--- a/libs/tenure/src/CoordinatorElection.cpp
+++ b/libs/tenure/src/CoordinatorElection.cpp
@@ -127,6 +127,7 @@
     row.set_write_number(++this->lastWriteNumber);
     row.set_resigned(this->resigning);
     row.set_store_ms(this->latestStoreMillis(now));
+    row.set_hosts(this->reportingHosts > 0 ? static_cast<std::uint32_t>(this->reportingHosts) : this->hostsInRow);
     WriteRow write;
     write.number = this->lastWriteNumber;
     write.expectedVersion = this->rowVersion.value_or(0);
@@ -160,6 +161,7 @@
         this->takeoverAt.reset();
     }
     this->currentTerm = std::max(this->currentTerm, row.term());
+    this->hostsInRow = row.hosts();
     this->knownCoordinatorAddress = row.resigned() ? std::string() : row.address();
 }
 
--- a/libs/tenure/tests/CoordinatorElectionTest.cpp
+++ b/libs/tenure/tests/CoordinatorElectionTest.cpp
@@ -450,3 +450,30 @@
     REQUIRE(hosts.coordinator());
     CHECK(hosts.coordinator() != coordinator);
 }
+
+// Guards against new hosts that take a large fleet for a small one during a takeover and all read the list of servers.
+TEST_CASE("the row names the number of hosts, also when a new coordinator has not heard of them yet")
+{
+    RandomEngine random(1);
+    CoordinatorElection election("self", "10.0.0.1:1", {}, random);
+    TimePoint now { std::chrono::seconds(100) };
+    election.tick(now);
+    wire::Tenure row;
+    row.set_term(1);
+    row.set_resigned(true);
+    row.set_hosts(300);
+    election.rowRead(5, row.SerializeAsString(), std::nullopt, now);
+    CHECK(election.storedHostCount() == 300);
+    std::optional<WriteRow> takeover;
+    for (int i = 0; i < 100 && !takeover; ++i) {
+        now += std::chrono::milliseconds(20);
+        for (const auto& output : election.tick(now)) {
+            if (const auto* write = std::get_if<WriteRow>(&output))
+                takeover = *write;
+        }
+    }
+    REQUIRE(takeover);
+    wire::Tenure written;
+    REQUIRE(written.ParseFromString(takeover->value));
+    CHECK(written.hosts() == 300);
+}
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -64,6 +64,7 @@
     , keyLeaseOptions(makeKeyLeaseOptions(settings))
     , random(systemSeededEngine())
     , election(ownIncarnation, this->address, makeElectionOptions(settings), this->random)
+    , listReadPolicy(this->random, owner.now())
     , sender(owner, log)
     , leaseOrderSender(owner)
     , receivedState(log)
@@ -205,6 +206,7 @@
         this->knownHosts.assign(beacon.host_addresses().begin(), beacon.host_addresses().end());
     if (this->onVersionAnnounced)
         this->onVersionAnnounced(beacon.configuration_version());
+    this->listReadPolicy.onBeacon(datagram.term(), beacon.hosts(), this->reactor.now());
     this->hasReceivedBeacon = true;
     this->lastBeaconReceived = this->reactor.now();
     this->placement->setHostCount(beacon.hosts());
@@ -234,6 +236,12 @@
     return !this->coordinator && this->receivedState.isCurrent(this->reactor.now());
 }
 
+bool CoordinationTask::mustReadServers(bool hasList, TimePoint lastRead)
+{
+    return this->coordinator
+        || this->listReadPolicy.mustRead({ this->hasCurrentDirectory(), hasList, lastRead }, this->reactor.now());
+}
+
 bool CoordinationTask::isCoordinatorAlive() const
 {
     return !this->coordinator && this->reactor.now() - this->lastBeaconReceived < coordinatorTimeout;
@@ -358,6 +366,7 @@
     this->store.read(electionTable, [this](Result<store::RowSet> rowSet) {
         if (!succeeded(rowSet)) {
             this->election.readFailed();
+            this->onRowAnswered();
             return;
         }
         store::Row row;
@@ -367,9 +376,17 @@
         }
         this->lastRowContact = this->reactor.now();
         this->execute(this->election.rowRead(row.version, row.value, valueOf(rowSet).storeMillis, this->reactor.now()));
+        this->onRowAnswered();
     });
 }
 
+void CoordinationTask::onRowAnswered()
+{
+    this->listReadPolicy.setStoredHostCount(this->election.storedHostCount(), this->reactor.now());
+    if (auto callback = std::exchange(this->onFirstRow, {}))
+        callback();
+}
+
 void CoordinationTask::writeRow(const tenure::WriteRow& write)
 {
     store::Transaction transaction;
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -4,6 +4,7 @@
 #include "LibraryOptions.h"
 #include "ReceivedState.h"
 #include "coordination/Coordinator.h"
+#include "coordination/ListReadPolicy.h"
 #include "coordination/PlacementClient.h"
 #include "core/Random.h"
 #include "platform_adapter/LeaseOrderSender.h"
@@ -49,6 +50,10 @@
     void setStateCallbacks(ReceivedState::Callbacks callbacks, VersionCallback versionCallback);
     //! Whether this host gets a current list of backend servers from another coordinator.
     bool hasCurrentDirectory() const;
+    //! Whether this host is to read the list of backend servers from the store.
+    bool mustReadServers(bool hasList, TimePoint lastRead);
+    //! Sets a callback for the first answer, or failure, of the read of the coordinator's row.
+    void setFirstRowCallback(std::function<void()> callback) { this->onFirstRow = std::move(callback); }
     //! Whether a beacon of another coordinator arrived recently, even one with a stale list.
     bool isCoordinatorAlive() const;
     void closeExpiredConnections() { this->leaseOrderSender.closeExpiredConnections(); }
@@ -78,6 +83,7 @@
     void sendReport();
     void execute(const std::vector<tenure::ElectionOutput>& outputs);
     void readRow();
+    void onRowAnswered();
     void writeRow(const tenure::WriteRow& write);
     void becomeCoordinator(std::uint64_t term);
     void loadPlans(std::uint64_t term);
@@ -103,6 +109,8 @@
     keyspace::KeyLeaseOptions keyLeaseOptions;
     RandomEngine random;
     tenure::CoordinatorElection election;
+    coordination::ListReadPolicy listReadPolicy;
+    std::function<void()> onFirstRow; //!< reset by the call
     std::unique_ptr<coordination::PlacementClient> placement;
     std::unique_ptr<coordination::Coordinator> coordinator;
     DatagramSender sender;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -107,25 +107,31 @@
     this->coordination->setStateCallbacks(std::move(callbacks),
         [this](std::uint64_t version) { this->configurationWatcher->onVersionAnnounced(version); });
     this->configurationWatcher->start();
-    this->serverWatcher->start();
+    this->coordination->setFirstRowCallback([this] { this->updateDataSources(); });
     this->coordination->start();
     this->runPeriodicCleanup();
-    this->updateDataSources();
+    this->runDataSourceUpdates();
     return Success {};
 }
 
 // Calls to the store are expensive, so the coordinator reads the list of servers and sends it to the other hosts. A
-// host without a current list from the coordinator polls the store itself.
+// host without a current list from the coordinator polls the store itself, in a large fleet after a delay.
 void NodeService::updateDataSources()
 {
     bool directoryCurrent = this->coordination->hasCurrentDirectory();
     bool coordinatorAlive = this->coordination->isCoordinatorAlive();
-    this->serverWatcher->setPolling(!directoryCurrent);
+    this->serverWatcher->setPolling(this->coordination->mustReadServers(
+        !this->serverWatcher->servers().empty(), this->serverWatcher->lastStoreContact()));
     using Source = ConfigurationWatcher::Source;
     this->configurationWatcher->setSource(directoryCurrent ? Source::Coordinator
             : coordinatorAlive                             ? Source::StoreWithCoordinator
                                                            : Source::Store);
-    this->reactor.scheduleAfter(dataSourceInterval, [this] { this->updateDataSources(); });
+}
+
+void NodeService::runDataSourceUpdates()
+{
+    this->updateDataSources();
+    this->reactor.scheduleAfter(dataSourceInterval, [this] { this->runDataSourceUpdates(); });
 }
 
 bool NodeService::isReady() const
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -31,6 +31,7 @@
     endpoint::Response metricsPage(const std::string& path) const;
     void runPeriodicCleanup();
     void updateDataSources();
+    void runDataSourceUpdates();
     void checkStop();
     void recordStop(Duration elapsed);
 
--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -29,11 +29,6 @@
 {
 }
 
-void ServerWatcher::start()
-{
-    this->readAll();
-}
-
 void ServerWatcher::setPolling(bool enable)
 {
     this->polling = enable;
--- a/programs/node/src/ServerWatcher.h
+++ b/programs/node/src/ServerWatcher.h
@@ -19,8 +19,8 @@
 
     ServerWatcher(net::Reactor& reactor, store::RowStore& store, timeline::EventLog& events, ChangeCallback changed);
 
-    void start();
-    //! Sets whether this host polls the store. If not, it receives the list from the coordinator.
+    //! Sets whether this host polls the store, which it does not at first. If not, it receives the list from the
+    //! coordinator.
     void setPolling(bool polling);
     //! Takes a list from the coordinator.
     void applyCoordinatorList(const fleet::ServerMap& listedServers);
@@ -43,7 +43,7 @@
     fleet::ServerDirectory directory;
     std::map<std::string, store::RowVersion> rejectedEntries; //!< malformed entries that are already in the log
     TimePoint lastStoreResponse {};
-    bool polling = true;
+    bool polling = false;
     bool readScheduled = false;
     bool storeLost = false;
 };
