Merge branch 'part-fleet' into next

# Conflicts: # libs/coordination/include/coordination/Coordinator.h # libs/wire/generated/peer.pb.cc # programs/node/src/CoordinationTask.cpp # programs/node/src/CoordinationTask.h # programs/node/src/NodeService.cpp # programs/node/src/ServerWatcher.h

--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -66,6 +66,7 @@
     , keyLeaseOptions(makeKeyLeaseOptions(settings))
     , random(systemSeededEngine())
     , election(ownIncarnation, this->address, makeElectionOptions(settings), this->random)
+    , listReadPolicy(this->random, owner.now())
     , sender(owner, log)
     , leaseOrderSender(owner)
     , receivedState(log, fleet::serverListTimes(settings.duration("servers", "drain_bound")))
@@ -212,6 +213,8 @@
     }
     if (fromHost || datagram.term() < this->coordinatorTerm)
         return;
+    if (datagram.term() != this->coordinatorTerm)
+        this->coordinatorDataCentre.clear();
     this->coordinatorTerm = datagram.term();
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender);
@@ -232,9 +235,12 @@
         this->knownHosts.assign(beacon.host_addresses().begin(), beacon.host_addresses().end());
     if (this->onVersionAnnounced)
         this->onVersionAnnounced(beacon.configuration_version());
+    this->listReadPolicy.onBeacon(datagram.term(), beacon.hosts(), this->reactor.now());
     this->hasReceivedBeacon = true;
     this->lastBeaconReceived = this->reactor.now();
     this->placement->setHostCount(beacon.hosts());
+    if (!beacon.data_centre().empty())
+        this->coordinatorDataCentre = beacon.data_centre();
     if (beacon.host_number() != 0)
         this->placement->setHostNumber(beacon.host_number());
 }
@@ -257,6 +263,12 @@
     return !this->coordinator && this->receivedState.isCurrent(this->reactor.now());
 }
 
+bool CoordinationTask::mustReadServers(bool hasList, TimePoint lastRead)
+{
+    return this->coordinator
+        || this->listReadPolicy.mustRead({ this->hasCurrentDirectory(), hasList, lastRead }, this->reactor.now());
+}
+
 bool CoordinationTask::isCoordinatorAlive() const
 {
     return !this->coordinator && this->reactor.now() - this->lastBeaconReceived < coordinatorTimeout;
@@ -284,23 +296,29 @@
         this->sendDatagrams(this->coordinator->takeReplies());
         return;
     }
-    if (!hasMessages)
-        return;
+    if (hasMessages)
+        this->sendToCoordinator(datagram);
+}
+
+void CoordinationTask::sendToCoordinator(wire::Datagram& datagram)
+{
     datagram.set_term(this->coordinatorTerm);
-    this->sender.send(datagram, this->election.coordinatorAddress());
+    this->sender.send(datagram, this->election.coordinatorAddress(),
+        coordination::trafficScope(this->dataCentre, this->coordinatorDataCentre));
 }
 
 void CoordinationTask::sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages)
 {
     for (const auto& message : messages) {
+        // Only the coordinator needs to know the sender, so the datagrams to hosts leave it out.
         auto datagram = message.datagram;
-        datagram.set_sender(this->incarnation);
         datagram.set_term(this->coordinator ? this->coordinator->term() : 0);
         if (message.address == this->address) {
             this->handleDatagram(datagram, this->address);
             continue;
         }
-        this->sender.send(datagram, message.address);
+        auto receiver = this->coordinator ? this->coordinator->dataCentreOf(message.address) : std::string();
+        this->sender.send(datagram, message.address, coordination::trafficScope(this->dataCentre, receiver));
     }
 }
 
@@ -349,8 +367,7 @@
         this->sendDatagrams(this->coordinator->takeReplies());
         return;
     }
-    datagram.set_term(this->coordinatorTerm);
-    this->sender.send(datagram, this->election.coordinatorAddress());
+    this->sendToCoordinator(datagram);
 }
 
 void CoordinationTask::execute(const std::vector<tenure::ElectionOutput>& outputs)
@@ -376,6 +393,7 @@
     this->store.read(electionTable, [this](Result<store::RowSet> rowSet) {
         if (!succeeded(rowSet)) {
             this->election.readFailed();
+            this->onRowAnswered();
             return;
         }
         store::Row row;
@@ -385,9 +403,17 @@
         }
         this->lastRowContact = this->reactor.now();
         this->execute(this->election.rowRead(row.version, row.value, valueOf(rowSet).storeMillis, this->reactor.now()));
+        this->onRowAnswered();
     });
 }
 
+void CoordinationTask::onRowAnswered()
+{
+    this->listReadPolicy.setStoredHostCount(this->election.storedHostCount(), this->reactor.now());
+    if (auto callback = std::exchange(this->onFirstRow, {}))
+        callback();
+}
+
 void CoordinationTask::writeRow(const tenure::WriteRow& write)
 {
     store::Transaction transaction;
@@ -449,7 +475,7 @@
     this->sendDatagrams(this->coordinator->makeBeacons({ this->incarnation, this->election.isResigning(),
         this->election.suspectsStoreOutage(now)
             || this->coordinator->maxProcessorShare() >= handoverShareRatio * this->processorShare,
-        toMillis(now - this->serverListReadAt) }));
+        toMillis(now - this->serverListReadAt), this->dataCentre }));
 }
 
 void CoordinationTask::loadPlans(std::uint64_t term)
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -113,25 +113,31 @@
     this->coordination->setStateCallbacks(std::move(callbacks),
         [this](std::uint64_t version) { this->configurationWatcher->onVersionAnnounced(version); });
     this->configurationWatcher->start();
-    this->serverWatcher->start();
+    this->coordination->setFirstRowCallback([this] { this->updateDataSources(); });
     this->coordination->start();
     this->runPeriodicCleanup();
-    this->updateDataSources();
+    this->runDataSourceUpdates();
     return Success {};
 }
 
 // Calls to the store are expensive, so the coordinator reads the list of servers and sends it to the other hosts. A
-// host without a current list from the coordinator polls the store itself.
+// host without a current list from the coordinator polls the store itself, in a large fleet after a delay.
 void NodeService::updateDataSources()
 {
     bool directoryCurrent = this->coordination->hasCurrentDirectory();
     bool coordinatorAlive = this->coordination->isCoordinatorAlive();
-    this->serverWatcher->setPolling(!directoryCurrent);
+    this->serverWatcher->setPolling(this->coordination->mustReadServers(
+        !this->serverWatcher->servers().empty(), this->serverWatcher->lastStoreContact()));
     using Source = ConfigurationWatcher::Source;
     this->configurationWatcher->setSource(directoryCurrent ? Source::Coordinator
             : coordinatorAlive                             ? Source::StoreWithCoordinator
                                                            : Source::Store);
-    this->reactor.scheduleAfter(this->listTimes.checkInterval, [this] { this->updateDataSources(); });
+}
+
+void NodeService::runDataSourceUpdates()
+{
+    this->updateDataSources();
+    this->reactor.scheduleAfter(this->listTimes.checkInterval, [this] { this->runDataSourceUpdates(); });
 }
 
 bool NodeService::isReady() const
@@ -195,7 +201,7 @@
     add("sequoia_coordinator_cold_held_back_total", "counter",
         "Requests that have waited since their server was cold, in this tenure.",
         coordinator ? count(coordinator->jobsHeldByColdLimit()) : 0);
-    return { 200, text };
+    return { 200, text + this->coordination->traffic().toText() + this->store.trafficText() };
 }
 
 void NodeService::runPeriodicCleanup()
@@ -244,13 +250,31 @@
     // A coordinator without a successor keeps placing the requests of other hosts.
     drained = drained && !this->coordination->isCoordinator();
     if (drained || elapsed >= this->terminationGracePeriod - exitMargin) {
-        this->events.record(timeline::Severity::Info, "stop_finished",
-            { { "connections_left", std::to_string(this->edge->connectionCount()) },
-                { "elapsed_ms", std::to_string(toMillis(elapsed)) } });
+        this->recordStop(elapsed);
         this->stopFinished();
         return;
     }
     this->reactor.scheduleAfter(stopCheckInterval, [this] { this->checkStop(); });
 }
 
+// The metrics are gone with the process, so its traffic is logged.
+void NodeService::recordStop(Duration elapsed)
+{
+    std::vector<wire::EventField> fields;
+    auto add = [&fields](const std::string& key, const std::string& value) {
+        auto& field = fields.emplace_back();
+        field.set_key(key);
+        field.set_value(value);
+    };
+    add("connections_left", std::to_string(this->edge->connectionCount()));
+    add("elapsed_ms", std::to_string(toMillis(elapsed)));
+    for (const auto& [name, value] : this->coordination->traffic().toFields())
+        add(name, value);
+    for (const auto& [kind, traffic] : this->store.traffic())
+        add("store_" + kind,
+            std::to_string(traffic.calls) + "/" + std::to_string(traffic.sentBytes) + "/"
+                + std::to_string(traffic.receivedBytes));
+    this->events.record(timeline::Severity::Info, "stop_finished", fields);
+}
+
 }
--- a/programs/node/src/NodeService.h
+++ b/programs/node/src/NodeService.h
@@ -31,7 +31,9 @@
     endpoint::Response metricsPage(const std::string& path) const;
     void runPeriodicCleanup();
     void updateDataSources();
+    void runDataSourceUpdates();
     void checkStop();
+    void recordStop(Duration elapsed);
 
     Duration terminationGracePeriod;
     fleet::ServerListTimes listTimes;
--- a/programs/node/src/ServerWatcher.cpp
+++ b/programs/node/src/ServerWatcher.cpp
@@ -32,11 +32,6 @@
 {
 }
 
-void ServerWatcher::start()
-{
-    this->readAll();
-}
-
 void ServerWatcher::setPolling(bool enable)
 {
     bool wasPolling = std::exchange(this->polling, enable);
