--- a/tests/processes/node_bounds.sh
+++ b/tests/processes/node_bounds.sh
@@ -15,7 +15,8 @@
     [internal_ports.0]=7004 [provider.address]=$ip:7005
 )
 declare -A usual=(
-    [limits.cpu_share]=0.15 [limits.link_mbps]=750.0 [bounds.grace_s]=6 [bounds.hold_max_ms]=10000
+    [limits.cpu_share]=0.15 [limits.link_mbps]=750.0 [limits.memory_mb]=120 [limits.max_fds]=3075
+    [bounds.grace_s]=6 [bounds.hold_max_ms]=10000
     [bounds.retry_budget_ratio]=0.2 [bounds.retry_budget_slack]=60 [bounds.budget_window_s]=10
 )
 
--- a/tests/soak/src/HostProcess.h
+++ b/tests/soak/src/HostProcess.h
@@ -30,6 +30,8 @@
     void signal(int number);
     bool isRunning() const { return this->process != nullptr; }
     const std::string& logFile() const { return this->currentLog; }
+    //! Process id of a running process.
+    std::string identifier() const { return g_subprocess_get_identifier(this->process); }
 
 private:
     static void onEnd(GObject* source, GAsyncResult* result, gpointer self);
