Bound what a caller's connection keeps of bytes that are not a request

Cause: after a malformed or too long head the connection was kept open until its timer and read on without consuming, answering again for each read; chunk headers and trailers without end, and bytes behind a request, filled the input buffer; pipelined requests whose responses nobody read filled the output buffer. Without a free descriptor the listener was polled without pause. Change: after 400 or 431 the connection is closed gracefully and the rest is discarded; a chunk header or trailers longer than max_header_bytes close it; reading stops while more than 16 KiB are behind a request; the next pipelined request waits while more than 256 KiB of responses are unread; the listener pauses for 50 ms without descriptors. Limits are counted by reason (CallerLimitLog).

--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "client/ConnectionPool.h"
+#include "edge/CallerLimitLog.h"
 #include "edge/EdgeCounters.h"
 #include "edge/HeaderNames.h"
 #include "edge/Placer.h"
@@ -41,6 +42,7 @@
     std::map<std::string, Duration> longestDeadline;
     //! Servers, as named in the pool, that have rejected requests without repeating their ids.
     std::set<std::string> serversWithoutIds;
+    CallerLimitLog& limitLog;
 };
 
 //! HTTP server that forwards the requests of callers to backend servers.
@@ -87,6 +89,7 @@
     std::unique_ptr<TrafficSplit> split;
     std::unique_ptr<RequestLog> requestLog;
     RequestMetrics requestMetrics;
+    CallerLimitLog limitLog;
     EdgeContext context;
     std::unique_ptr<net::TcpListener> listener;
     std::optional<net::Reactor::TimerId> acceptTimer; //!< runs while connections wait for the first configuration
--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -14,6 +14,10 @@
 constexpr Duration minIdleBeforeClose = std::chrono::milliseconds(500);
 // Time for the caller to close its side after the last response.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
+// Reading stops while more bytes than this have arrived behind a request whose response is not complete.
+constexpr std::size_t maxBytesBehind = std::size_t { 16 } * 1024;
+// The next pipelined request is not started while more bytes of earlier responses than this are unread by the caller.
+constexpr std::size_t maxUnsentBeforeNext = std::size_t { 256 } * 1024;
 
 std::string secondsText(Duration time)
 {
@@ -31,8 +35,7 @@
     , stream(edgeContext.reactor, descriptor, *this)
     , idleSince(edgeContext.reactor.now())
 {
-    auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
-    this->startTimer(limits.idleTimeout + idleTimeoutMargin, true);
+    this->startTimer(this->limits().idleTimeout + idleTimeoutMargin, true);
 }
 
 CallerConnection::~CallerConnection()
@@ -41,6 +44,11 @@
         this->context.reactor.cancel(*this->timer);
 }
 
+fleet::CallerLimits CallerConnection::limits() const
+{
+    return this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
+}
+
 void CallerConnection::startTimer(Duration limit, bool idle)
 {
     if (this->timer)
@@ -55,6 +63,7 @@
 {
     if (!idle && !this->closing) {
         ++this->context.counters.refused;
+        this->context.limitLog.count(CallerLimit::HeadTimeout);
         this->closeAfterResponse = true;
         this->sendLocalResponse(408, {}, "the header did not arrive in time");
         return;
@@ -78,14 +87,14 @@
         return;
     this->parsing = true;
     while (!this->closing && !this->stream.input().empty()) {
-        // A pipelined request waits until the response to this one is complete.
-        if (this->requestComplete)
+        // A pipelined request waits until the response to this one is complete, and earlier ones are read.
+        if (this->requestComplete || (!this->parser && this->stream.unsentBytes() > maxUnsentBeforeNext))
             break;
         if (!this->parser) {
-            auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
-            this->parser = std::make_unique<http::MessageParser>(http::MessageType::Request, limits.maxHeaderBytes);
+            this->parser
+                = std::make_unique<http::MessageParser>(http::MessageType::Request, this->limits().maxHeaderBytes);
             this->headStarted = true;
-            this->startTimer(limits.headerTimeout, false);
+            this->startTimer(this->limits().headerTimeout, false);
         }
         bool hadHead = this->parser->isHeadComplete();
         std::string early;
@@ -111,13 +120,31 @@
         this->requestComplete = this->parser->complete();
         if (this->request && !this->request->isFinished())
             this->request->onBody(this->requestComplete);
-        if (this->request && this->request->shouldPauseBody())
-            this->stream.setReading(false);
         this->prepareNextRequest();
-        if (valueOf(parsed) == 0)
+        if (valueOf(parsed) == 0) {
+            this->checkUnparsedInput();
             break;
+        }
     }
     this->parsing = false;
+    this->updateReading();
+}
+
+// The parser consumes whole chunk headers and trailers, so a caller that never ends one would fill the input buffer.
+void CallerConnection::checkUnparsedInput()
+{
+    if (this->closing || !this->parser || this->stream.input().size() <= this->limits().maxHeaderBytes)
+        return;
+    this->context.limitLog.count(CallerLimit::ChunkOverhead);
+    this->close();
+}
+
+void CallerConnection::updateReading()
+{
+    bool bodyPaused = this->request && !this->requestComplete && this->request->shouldPauseBody();
+    bool waits = this->requestComplete || (!this->parser && this->stream.unsentBytes() > maxUnsentBeforeNext);
+    bool full = waits && this->stream.input().size() > maxBytesBehind;
+    this->stream.setReading(this->closing || !(bodyPaused || full));
 }
 
 void CallerConnection::startRequest()
@@ -156,7 +183,10 @@
     }
     bool tooLarge = error.kind == ErrorKind::InvalidArgument;
     ++this->context.counters.refused;
+    this->context.limitLog.count(CallerLimit::MalformedHead);
     this->sendLocalResponse(tooLarge ? 431 : 400, {}, error.message);
+    // The bytes that follow have no meaning.
+    this->closeGracefully();
 }
 
 bool CallerConnection::closesAfterResponse() const
@@ -247,8 +277,7 @@
 
 void CallerConnection::resumeBody()
 {
-    if (!this->closing && !this->requestComplete)
-        this->stream.setReading(true);
+    this->updateReading();
 }
 
 void CallerConnection::onResponseWritten()
@@ -272,7 +301,7 @@
         return;
     if (!this->requestComplete && this->parser && this->parser->isHeadComplete()) {
         // The rest of the body is read and discarded, so that the caller can read its response.
-        this->stream.setReading(true);
+        this->updateReading();
         if (!this->timer)
             this->startTimer(lingerTimeout * 5, true);
         return;
@@ -287,15 +316,16 @@
         this->closeGracefully();
         return;
     }
-    this->stream.setReading(true);
-    auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
-    this->startTimer(limits.idleTimeout + idleTimeoutMargin, true);
+    this->updateReading();
+    this->startTimer(this->limits().idleTimeout + idleTimeoutMargin, true);
 }
 
 void CallerConnection::onDrained()
 {
     if (this->request)
         this->request->onSinkDrained();
+    if (!this->parser && !this->closing)
+        this->parseInput();
 }
 
 void CallerConnection::onEnd(net::StreamEnd end)
@@ -324,6 +354,8 @@
     if (this->closing)
         return;
     this->closing = true;
+    this->stream.consume(this->stream.input().size());
+    this->updateReading();
     this->stream.finishWriting();
     this->startTimer(lingerTimeout, true);
 }
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -43,6 +43,9 @@
     void parseInput();
     void startRequest();
     bool continueExpected(const http::MessageHead& head) const;
+    void checkUnparsedInput();
+    void updateReading();
+    fleet::CallerLimits limits() const;
     void rejectMalformed(const Error& error);
     void prepareNextRequest();
     void onResponseWritten();
--- a/libs/net/include/net/TcpListener.h
+++ b/libs/net/include/net/TcpListener.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sequoia::net {
 
@@ -31,11 +32,15 @@
     TcpListener(Reactor& reactor, int descriptor, AcceptCallback onAccept);
     void onIo(std::uint32_t events) override;
     void acceptUpTo(int count);
+    void waitForDescriptors();
+    void updateWatch();
 
     Reactor& reactor;
     int descriptor;
     AcceptCallback onAccept;
     bool accepting = true;
+    bool watching = true;
+    std::optional<Reactor::TimerId> resumeTimer; //!< runs while no descriptor is free
 };
 
 }
--- a/libs/net/include/net/TcpStream.h
+++ b/libs/net/include/net/TcpStream.h
@@ -50,6 +50,12 @@
 
     void write(std::string_view bytes);
     std::size_t unsentBytes() const { return this->outputBuffer.size() - this->outputStart; }
+    //! Bytes that the kernel has taken since the connection was opened.
+    std::uint64_t sentBytes() const { return this->sentTotal; }
+    //! Memory of the input buffer; a small one that is kept for the next bytes does not count.
+    std::size_t inputMemory() const;
+    //! Memory of the output buffer, as above.
+    std::size_t outputMemory() const;
 
     //! Pauses or resumes reading. While paused, a reset by the peer is still detected, but an orderly end is not.
     void setReading(bool enabled);
@@ -84,6 +90,7 @@
     std::size_t inputStart = 0;
     std::string outputBuffer;
     std::size_t outputStart = 0;
+    std::uint64_t sentTotal = 0;
     //! Deferred callbacks hold a weak pointer to this to detect that the stream was destroyed.
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
 };
--- a/libs/net/src/TcpListener.cpp
+++ b/libs/net/src/TcpListener.cpp
@@ -14,6 +14,8 @@
 constexpr int backlog = 1024;
 // Maximum connections accepted per iteration, so that established connections are not starved.
 constexpr int acceptBatch = 16;
+// Without a free descriptor the listener stays readable, so that accepting again at once would take a whole core.
+constexpr Duration descriptorWait = std::chrono::milliseconds(50);
 
 }
 
@@ -44,6 +46,8 @@
 
 TcpListener::~TcpListener()
 {
+    if (this->resumeTimer)
+        this->reactor.cancel(*this->resumeTimer);
     this->setAccepting(false);
     close(this->descriptor);
 }
@@ -58,10 +62,28 @@
 
 void TcpListener::setAccepting(bool enabled)
 {
-    if (this->accepting == enabled)
-        return;
     this->accepting = enabled;
-    if (enabled)
+    this->updateWatch();
+}
+
+void TcpListener::waitForDescriptors()
+{
+    if (this->resumeTimer)
+        return;
+    this->resumeTimer = this->reactor.scheduleAfter(descriptorWait, [this] {
+        this->resumeTimer.reset();
+        this->updateWatch();
+    });
+    this->updateWatch();
+}
+
+void TcpListener::updateWatch()
+{
+    bool wanted = this->accepting && !this->resumeTimer;
+    if (this->watching == wanted)
+        return;
+    this->watching = wanted;
+    if (wanted)
         this->reactor.watch(this->descriptor, EPOLLIN, *this);
     else
         this->reactor.unwatch(this->descriptor);
@@ -81,8 +103,11 @@
 {
     for (int i = 0; i < count; ++i) {
         int connection = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (connection < 0)
+        if (connection < 0) {
+            if (errno == EMFILE || errno == ENFILE)
+                this->waitForDescriptors();
             return;
+        }
         this->onAccept(connection);
     }
 }
--- a/libs/net/src/TcpStream.cpp
+++ b/libs/net/src/TcpStream.cpp
@@ -29,6 +29,11 @@
         descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedTimeoutMillis, sizeof unacknowledgedTimeoutMillis);
 }
 
+std::size_t memoryOf(const std::string& buffer, std::size_t start)
+{
+    return buffer.capacity() > keptCapacity ? buffer.capacity() : buffer.size() - start;
+}
+
 void discardConsumed(std::string& buffer, std::size_t& start)
 {
     if (start == buffer.size()) {
@@ -83,6 +88,16 @@
     return std::string_view(this->inputBuffer).substr(this->inputStart);
 }
 
+std::size_t TcpStream::inputMemory() const
+{
+    return memoryOf(this->inputBuffer, this->inputStart);
+}
+
+std::size_t TcpStream::outputMemory() const
+{
+    return memoryOf(this->outputBuffer, this->outputStart);
+}
+
 void TcpStream::consume(std::size_t bytes)
 {
     assert(bytes <= this->inputBuffer.size() - this->inputStart);
@@ -212,6 +227,7 @@
             return;
         }
         this->outputStart += static_cast<std::size_t>(count);
+        this->sentTotal += static_cast<std::uint64_t>(count);
     }
     discardConsumed(this->outputBuffer, this->outputStart);
     if (this->unsentBytes() > 0) {
