One account of the memory for callers, minimum progress of bodies, and a limit of connections

Cause: each body and response was bounded, their sum was not; a body that stopped kept its memory and its descriptor until the caller's deadline; nothing kept callers' connections below the descriptors that the host needs itself. Change: MemoryAccount (pure) holds what each connection has in heads, bodies, responses and unsent bytes, under a quarter of [node] memory_megabytes. Above 0.6 of it growing bodies are not read and connections without progress for 1 s are ended (503 with Retry-After if nothing was sent to a server, else closed); above 0.8 new bodies over 8 KiB get 503. A body that brings less than 256 bytes in 5 s gets 408, or its connection is closed if part was sent. Callers have at most half of [node] descriptors; finished, idle and stalled connections are closed to make room, else the new one is closed. Counters by reason on the metrics page, event=callers_limited once per 5 s and reason. Without the settings there are no ceilings; the minimum progress always holds.

--- a/libs/client/include/client/ClientConnection.h
+++ b/libs/client/include/client/ClientConnection.h
@@ -73,6 +73,9 @@
     void reset();
     void setReading(bool enabled) { this->stream.setReading(enabled); }
     std::size_t unsentBytes() const { return this->stream.unsentBytes(); }
+    //! Memory of received bytes that were not forwarded yet.
+    std::size_t inputMemory() const { return this->stream.inputMemory() + this->body.size(); }
+    std::size_t outputMemory() const { return this->stream.outputMemory(); }
     bool isConnected() const { return this->stream.isConnected(); }
 
     bool isUsable() const { return this->stream.isConnected() && !this->stream.hasPendingInput(); }
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "client/ConnectionPool.h"
+#include "edge/CallerCeilings.h"
 #include "edge/CallerLimitLog.h"
 #include "edge/EdgeCounters.h"
 #include "edge/HeaderNames.h"
+#include "edge/MemoryAccount.h"
 #include "edge/Placer.h"
 #include "edge/RequestMetrics.h"
 #include "fleet/Configuration.h"
@@ -43,6 +45,7 @@
     //! Servers, as named in the pool, that have rejected requests without repeating their ids.
     std::set<std::string> serversWithoutIds;
     CallerLimitLog& limitLog;
+    MemoryAccount& memory;
 };
 
 //! HTTP server that forwards the requests of callers to backend servers.
@@ -55,6 +58,8 @@
     Result<Success> listen(const net::SocketAddress& address);
     net::SocketAddress address() const;
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
+    //! Sets the ceilings for all callers together, with immediate effect.
+    void setCeilings(const CallerCeilings& ceilings);
     //! Closes the idle connections to a backend server that was removed.
     void closeIdleServerConnections(const std::string& id, const std::string& address);
     //! Closes backend connections whose idle timeout has passed; called about once per second.
@@ -76,9 +81,13 @@
     const EdgeCounters& counters() const { return this->totals; }
     std::uint64_t openedBackendConnections() const { return this->backends.openedConnections(); }
     std::size_t connectionCount() const { return this->connections.size(); }
+    const CallerLimitLog& limits() const { return this->limitLog; }
+    const MemoryAccount& memoryAccount() const { return this->memory; }
 
 private:
     void accept(int descriptor);
+    bool makeRoom();
+    void sweep();
     void startAccepting();
     void forEachConnection(const std::function<void(CallerConnection&)>& action);
 
@@ -90,8 +99,11 @@
     std::unique_ptr<RequestLog> requestLog;
     RequestMetrics requestMetrics;
     CallerLimitLog limitLog;
+    MemoryAccount memory;
     EdgeContext context;
     std::unique_ptr<net::TcpListener> listener;
+    std::size_t maxConnections = 0; //!< of callers; 0 is no limit
+    std::optional<net::Reactor::TimerId> sweepTimer;
     std::optional<net::Reactor::TimerId> acceptTimer; //!< runs while connections wait for the first configuration
     std::map<CallerConnection*, std::unique_ptr<CallerConnection>> connections;
 };
--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -33,13 +33,16 @@
     : context(edgeContext)
     , closedCallback(std::move(endCallback))
     , stream(edgeContext.reactor, descriptor, *this)
-    , idleSince(edgeContext.reactor.now())
+    , stageSince(edgeContext.reactor.now())
+    , sentSince(this->stageSince)
+    , idleSince(this->stageSince)
 {
     this->startTimer(this->limits().idleTimeout + idleTimeoutMargin, true);
 }
 
 CallerConnection::~CallerConnection()
 {
+    this->context.memory.remove(this->owner());
     if (this->timer)
         this->context.reactor.cancel(*this->timer);
 }
@@ -94,6 +97,7 @@
             this->parser
                 = std::make_unique<http::MessageParser>(http::MessageType::Request, this->limits().maxHeaderBytes);
             this->headStarted = true;
+            this->stageSince = this->context.reactor.now();
             this->startTimer(this->limits().headerTimeout, false);
         }
         bool hadHead = this->parser->isHeadComplete();
@@ -127,6 +131,8 @@
         }
     }
     this->parsing = false;
+    this->accountMemory();
+    this->holdBackIfNeeded();
     this->updateReading();
 }
 
@@ -144,7 +150,7 @@
     bool bodyPaused = this->request && !this->requestComplete && this->request->shouldPauseBody();
     bool waits = this->requestComplete || (!this->parser && this->stream.unsentBytes() > maxUnsentBeforeNext);
     bool full = waits && this->stream.input().size() > maxBytesBehind;
-    this->stream.setReading(this->closing || !(bodyPaused || full));
+    this->stream.setReading(this->closing || !(bodyPaused || full || (this->heldBack && this->isBodyArriving())));
 }
 
 void CallerConnection::startRequest()
@@ -155,11 +161,18 @@
     const auto& head = this->parser->head();
     this->responseComplete = false;
     this->closeAfterResponse = !head.keepAlive;
-    if (this->continueExpected(head))
+    bool refuseBody = this->refuseBodyForMemory(head);
+    this->stageSince = this->context.reactor.now();
+    this->stageBytes = 0;
+    if (!refuseBody && this->continueExpected(head))
         this->stream.write("HTTP/1.1 100 Continue\r\n\r\n");
     ResponseSink& self = *this;
     this->request = std::make_unique<CallerRequest>(this->context, self, head);
     this->request->start();
+    if (refuseBody && !this->request->isFinished()) {
+        this->context.limitLog.count(CallerLimit::MemoryRefused);
+        this->request->refuseUnsent(503, this->memoryRetryAfter(), "memory is short at this host");
+    }
 }
 
 bool CallerConnection::continueExpected(const http::MessageHead& head) const
@@ -365,6 +378,7 @@
     this->closing = true;
     if (this->request && !this->request->isFinished())
         this->request->abandon();
+    this->context.memory.remove(this->owner());
     this->stream.close();
     this->closedCallback(*this);
 }
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -4,6 +4,7 @@
 #include "http/MessageParser.h"
 #include "net/TcpStream.h"
 
+#include <compare>
 #include <functional>
 #include <memory>
 
@@ -18,6 +19,22 @@
     //! Closes the connection unless a request is running, arriving, or likely to be on its way.
     void closeIfIdle();
     void closeGracefully();
+    void close();
+    //! Accounts for the memory held, ends a body that makes no progress, and resumes reading if there is room, of which
+    //! it takes its part.
+    void checkProgress(std::size_t& room);
+    //! Ends a connection that makes no progress while memory is short.
+    void endForMemory();
+
+    //! A connection that may be closed to make room for another, in the order of preference.
+    struct Closable {
+        enum class Stage { Finished, Idle, Head, Body } stage = Stage::Finished;
+        TimePoint since {};
+
+        auto operator<=>(const Closable&) const = default;
+    };
+    std::optional<Closable> closable() const;
+    static CallerConnection* ofOwner(MemoryAccount::Owner owner);
     void expire()
     {
         if (this->request)
@@ -45,13 +62,18 @@
     bool continueExpected(const http::MessageHead& head) const;
     void checkUnparsedInput();
     void updateReading();
+    void accountMemory();
+    void holdBackIfNeeded();
+    bool isBodyArriving() const;
+    bool refuseBodyForMemory(const http::MessageHead& head) const;
+    Duration memoryRetryAfter() const;
+    MemoryAccount::Owner owner() const;
     fleet::CallerLimits limits() const;
     void rejectMalformed(const Error& error);
     void prepareNextRequest();
     void onResponseWritten();
     void startTimer(Duration limit, bool idle);
     void onTimer(bool idle);
-    void close();
     bool closesAfterResponse() const;
     static std::string responseHead(const http::MessageHead& head, const std::string& framing, bool close);
 
@@ -68,6 +90,11 @@
     bool closeAfterResponse = false;
     bool closing = false;
     bool parsing = false;
+    bool heldBack = false; //!< not read from, because memory is short
+    TimePoint stageSince; //!< start of the head, or last time that enough of the body had arrived
+    std::uint64_t stageBytes = 0; //!< of the body at that time
+    TimePoint sentSince; //!< when the caller last took bytes of a response
+    std::uint64_t lastSent = 0;
     TimePoint idleSince; //!< when the connection was accepted or the last response was completed
     //! Deferred callbacks hold a weak reference, to detect that the connection was destroyed.
     std::shared_ptr<int> lifetime = std::make_shared<int>(0);
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -244,7 +244,9 @@
 // Responses are buffered for many requests at once, so each gets less of the memory when there are more of them.
 std::size_t CallerRequest::responseBufferLimit() const
 {
-    auto share = responseBufferTotal / std::max<std::size_t>(1, this->context.activeAttempts);
+    auto ceiling = this->context.memory.ceiling();
+    auto total = ceiling == 0 ? responseBufferTotal : std::min(responseBufferTotal, ceiling / 2);
+    auto share = total / std::max<std::size_t>(1, this->context.activeAttempts);
     return std::clamp(share, minResponseBuffer, maxResponseBuffer);
 }
 
--- a/libs/edge/src/CallerRequest.h
+++ b/libs/edge/src/CallerRequest.h
@@ -41,6 +41,9 @@
     void refuseUnlessPlaced();
     //! Ends the request as at its deadline; used when the process exits.
     void expire();
+    //! Refuses the request if nothing of it was sent to a backend server; returns whether it is finished now.
+    bool refuseUnsent(unsigned status, Duration retryAfter, const std::string& reason);
+    void addMemory(HeldMemory& held) const;
     bool isFinished() const { return this->finished; }
 
 private:
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -4,6 +4,10 @@
 #include "RequestLog.h"
 #include "edge/TrafficSplit.h"
 
+#include <algorithm>
+#include <unistd.h>
+#include <vector>
+
 namespace sequoia::edge {
 
 namespace {
@@ -13,6 +17,10 @@
 // A process that has just started reads its configuration within a few hundred milliseconds, which is less than a
 // caller loses by a refusal. Callers give a connection up after a second.
 constexpr Duration maxConfigurationWait = std::chrono::milliseconds(700);
+// Between two looks at the progress and the memory of all connections.
+constexpr Duration sweepInterval = std::chrono::milliseconds(200);
+// When there is no room for a connection, this part of all is closed at once, so that the search is rare.
+constexpr std::size_t closedPart = 16;
 
 }
 
@@ -24,12 +32,15 @@
     , requestLog(std::make_unique<RequestLog>(events, owner.timeSource()))
     , limitLog(events, owner.timeSource())
     , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0,
-        *this->requestLog, this->requestMetrics, 0, {}, {}, this->limitLog }
+        *this->requestLog, this->requestMetrics, 0, {}, {}, this->limitLog, this->memory }
 {
+    this->sweep();
 }
 
 EdgeServer::~EdgeServer()
 {
+    if (this->sweepTimer)
+        this->reactor.cancel(*this->sweepTimer);
     if (this->acceptTimer)
         this->reactor.cancel(*this->acceptTimer);
 }
@@ -81,6 +92,11 @@
 void EdgeServer::accept(int descriptor)
 {
     ++this->totals.connections;
+    if (!this->makeRoom()) {
+        this->limitLog.count(CallerLimit::ConnectionRefused);
+        ::close(descriptor);
+        return;
+    }
     auto connection
         = std::make_unique<CallerConnection>(this->context, descriptor, [this](CallerConnection& endedConnection) {
               auto found = this->connections.find(&endedConnection);
@@ -95,6 +111,44 @@
     this->connections[key] = std::move(connection);
 }
 
+void EdgeServer::setCeilings(const CallerCeilings& ceilings)
+{
+    this->memory.setCeiling(ceilings.memoryBytes);
+    this->maxConnections = ceilings.connections;
+}
+
+// The host also needs descriptors for the store, backend servers, other hosts and files.
+bool EdgeServer::makeRoom()
+{
+    if (this->maxConnections == 0 || this->connections.size() < this->maxConnections)
+        return true;
+    std::vector<std::pair<CallerConnection::Closable, CallerConnection*>> closable;
+    for (const auto& [connection, owned] : this->connections) {
+        if (auto found = connection->closable())
+            closable.emplace_back(*found, connection);
+    }
+    auto count = std::min(closable.size(), this->maxConnections / closedPart + 1);
+    std::partial_sort(closable.begin(), closable.begin() + static_cast<std::ptrdiff_t>(count), closable.end());
+    for (std::size_t i = 0; i < count; ++i) {
+        this->limitLog.count(CallerLimit::ConnectionEnded);
+        closable[i].second->close();
+    }
+    return this->connections.size() < this->maxConnections;
+}
+
+void EdgeServer::sweep()
+{
+    auto room = this->memory.room();
+    this->forEachConnection([&room](CallerConnection& connection) { connection.checkProgress(room); });
+    for (auto owner : this->memory.stalledOwners(this->reactor.now())) {
+        auto found = this->connections.find(CallerConnection::ofOwner(owner));
+        if (found != this->connections.end())
+            found->first->endForMemory();
+    }
+    this->limitLog.logPeriod(this->memory.total(), this->connections.size());
+    this->sweepTimer = this->reactor.scheduleAfter(sweepInterval, [this] { this->sweep(); });
+}
+
 void EdgeServer::stopListening()
 {
     if (!this->listener)
--- a/libs/edge/src/RequestBody.h
+++ b/libs/edge/src/RequestBody.h
@@ -11,6 +11,7 @@
 public:
     std::string& buffer() { return this->data; }
     std::uint64_t end() const { return this->start + this->data.size(); }
+    std::size_t memory() const { return this->data.empty() ? 0 : this->data.capacity(); }
     bool isReplayable() const { return this->start == 0; }
 
     //! Bytes from `position`, which must not have been dropped.
@@ -31,7 +32,7 @@
     void clear()
     {
         this->start = 0;
-        this->data.clear();
+        std::string().swap(this->data);
     }
 
 private:
--- a/libs/net/include/net/TcpStream.h
+++ b/libs/net/include/net/TcpStream.h
@@ -59,6 +59,7 @@
 
     //! Pauses or resumes reading. While paused, a reset by the peer is still detected, but an orderly end is not.
     void setReading(bool enabled);
+    bool isReading() const { return this->reading; }
 
     //! Whether received bytes or the end of the stream have not been handled yet.
     bool hasPendingInput() const;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -18,6 +18,12 @@
 constexpr Duration responseMargin = std::chrono::milliseconds(600);
 constexpr Duration stopCheckInterval = std::chrono::milliseconds(100);
 
+edge::CallerCeilings ceilingsOf(const settings::Settings& settings)
+{
+    return edge::CallerCeilings::ofHost(
+        settings.real("node", "memory_megabytes"), settings.real("node", "descriptors"));
+}
+
 }
 
 Result<std::unique_ptr<runtime::Program>> NodeService::create(const runtime::ProgramContext& context)
@@ -52,6 +58,7 @@
     this->coordination = std::move(valueOf(coordinationTask));
     this->edge = std::make_unique<edge::EdgeServer>(
         this->reactor, this->events, platform_adapter::headerNames(), this->coordination->placer());
+    this->edge->setCeilings(ceilingsOf(settings));
     this->configurationWatcher = std::make_unique<ConfigurationWatcher>(this->reactor, this->store, this->events,
         [this](const std::shared_ptr<const fleet::Configuration>& current, const std::string& text) {
             this->edge->setConfiguration(current);
@@ -146,7 +153,7 @@
     if (path != "/metrics")
         return { 404, "no such page; the metrics are at /metrics\n" };
     auto now = this->reactor.now();
-    std::string text = this->edge->metrics().toText();
+    std::string text = this->edge->metrics().toText() + this->edge->limits().toText();
     auto add = [&text](const char* name, const char* type, const char* help, double value) {
         text += std::string("# HELP ") + name + " " + help + "\n# TYPE " + name + " " + type + "\n" + name + " "
             + std::to_string(value) + "\n";
@@ -162,6 +169,10 @@
     add("sequoia_backend_connections_opened_total", "counter", "Connections opened to backend servers.",
         count(this->edge->openedBackendConnections()));
     add("sequoia_caller_connections", "gauge", "Open connections of callers.", count(this->edge->connectionCount()));
+    add("sequoia_caller_memory_bytes", "gauge", "Memory that is held for callers.",
+        count(this->edge->memoryAccount().total()));
+    add("sequoia_caller_memory_ceiling_bytes", "gauge", "Ceiling of this memory; 0 when there is none.",
+        count(this->edge->memoryAccount().ceiling()));
     add("sequoia_store_calls_total", "counter", "Calls to the platform's store.", count(this->store.callCount()));
     add("sequoia_configuration_version", "gauge", "Version of the configuration in force.",
         current ? count(current->version) : 0);
@@ -198,8 +209,9 @@
     this->terminationGracePeriod = settings.duration("edge", "grace");
     this->store.setAddress(settings.text("store", "address"));
     this->coordination->reload(settings);
+    this->edge->setCeilings(ceilingsOf(settings));
     return { "edge.grace", "store.address", "node.processor_share", "node.link_megabits", "grants.longest_hold",
-        "repeats.ratio", "repeats.slack", "repeats.window" };
+        "repeats.ratio", "repeats.slack", "repeats.window", "node.memory_megabytes", "node.descriptors" };
 }
 
 void NodeService::stop(std::function<void()> finished)
