Test of callers that pipeline without reading; less is kept of unread responses

Change: an eighth kind of crowd; the next pipelined request waits at 64 KiB of unread responses in place of 256 KiB. The stages of closable connections are compared by a plain operator<; owners are looked up without a cast to a pointer.

--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -17,7 +17,7 @@
 // Reading stops while more bytes than this have arrived behind a request whose response is not complete.
 constexpr std::size_t maxBytesBehind = std::size_t { 16 } * 1024;
 // The next pipelined request is not started while more bytes of earlier responses than this are unread by the caller.
-constexpr std::size_t maxUnsentBeforeNext = std::size_t { 256 } * 1024;
+constexpr std::size_t maxUnsentBeforeNext = std::size_t { 64 } * 1024;
 
 std::string secondsText(Duration time)
 {
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -4,9 +4,9 @@
 #include "http/MessageParser.h"
 #include "net/TcpStream.h"
 
-#include <compare>
 #include <functional>
 #include <memory>
+#include <tuple>
 
 namespace sequoia::edge {
 
@@ -31,10 +31,13 @@
         enum class Stage { Finished, Idle, Head, Body } stage = Stage::Finished;
         TimePoint since {};
 
-        auto operator<=>(const Closable&) const = default;
+        bool operator<(const Closable& other) const
+        {
+            return std::tie(this->stage, this->since) < std::tie(other.stage, other.since);
+        }
     };
     std::optional<Closable> closable() const;
-    static CallerConnection* ofOwner(MemoryAccount::Owner owner);
+    MemoryAccount::Owner owner() const;
     void expire()
     {
         if (this->request)
@@ -67,7 +70,6 @@
     bool isBodyArriving() const;
     bool refuseBodyForMemory(const http::MessageHead& head) const;
     Duration memoryRetryAfter() const;
-    MemoryAccount::Owner owner() const;
     fleet::CallerLimits limits() const;
     void rejectMalformed(const Error& error);
     void prepareNextRequest();
--- a/libs/edge/src/CallerConnectionLimits.cpp
+++ b/libs/edge/src/CallerConnectionLimits.cpp
@@ -29,11 +29,6 @@
     return reinterpret_cast<std::uintptr_t>(this);
 }
 
-CallerConnection* CallerConnection::ofOwner(MemoryAccount::Owner owner)
-{
-    return reinterpret_cast<CallerConnection*>(static_cast<std::uintptr_t>(owner));
-}
-
 bool CallerConnection::isBodyArriving() const
 {
     return !this->closing && this->request && !this->request->isFinished() && !this->requestComplete;
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -128,7 +128,8 @@
             closable.emplace_back(*found, connection);
     }
     auto count = std::min(closable.size(), this->maxConnections / closedPart + 1);
-    std::partial_sort(closable.begin(), closable.begin() + static_cast<std::ptrdiff_t>(count), closable.end());
+    std::partial_sort(closable.begin(), closable.begin() + static_cast<std::ptrdiff_t>(count), closable.end(),
+        [](const auto& left, const auto& right) { return left.first < right.first; });
     for (std::size_t i = 0; i < count; ++i) {
         this->limitLog.count(CallerLimit::ConnectionEnded);
         closable[i].second->close();
@@ -140,11 +141,13 @@
 {
     auto room = this->memory.room();
     this->forEachConnection([&room](CallerConnection& connection) { connection.checkProgress(room); });
-    for (auto owner : this->memory.stalledOwners(this->reactor.now())) {
-        auto found = this->connections.find(CallerConnection::ofOwner(owner));
-        if (found != this->connections.end())
-            found->first->endForMemory();
-    }
+    auto stalled = this->memory.stalledOwners(this->reactor.now());
+    std::sort(stalled.begin(), stalled.end());
+    if (!stalled.empty())
+        this->forEachConnection([&stalled](CallerConnection& connection) {
+            if (std::binary_search(stalled.begin(), stalled.end(), connection.owner()))
+                connection.endForMemory();
+        });
     this->limitLog.logPeriod(this->memory.total(), this->connections.size());
     this->sweepTimer = this->reactor.scheduleAfter(sweepInterval, [this] { this->sweep(); });
 }
--- a/tests/crowd/src/CrowdCaller.cpp
+++ b/tests/crowd/src/CrowdCaller.cpp
@@ -18,6 +18,7 @@
     this->sent = 0;
     net::StreamObserver& self = *this;
     this->stream = std::make_unique<net::TcpStream>(this->reactor, this->address, self);
+    this->stream->setReading(this->bytes.reads);
     this->stream->write(this->bytes.start);
 }
 
--- a/tests/crowd/src/CrowdCaller.h
+++ b/tests/crowd/src/CrowdCaller.h
@@ -14,6 +14,7 @@
     std::string repeated; //!< sent again and again after the start
     std::optional<std::uint64_t> limit; //!< bytes after the start; without a limit they never end
     std::size_t piece = std::size_t { 64 } * 1024; //!< bytes written at once
+    bool reads = true; //!< reads the responses
 };
 
 //! A caller that sends its bytes as fast as they are taken, never closes its connection, and connects again when the
--- a/tests/crowd/src/Crowds.cpp
+++ b/tests/crowd/src/Crowds.cpp
@@ -60,6 +60,12 @@
             { body(largeBody, largeBody - 1, pieceBytes), body(usualBody, usualBody - 1, smallPiece),
                 body(usualBody, usualBody - 1, pieceBytes), body(largeBody, largeBody - 1, smallPiece),
                 body(largeBody, largeBody, pieceBytes), body(usualBody, usualBody, pieceBytes) } };
+    if (kind == "unread-responses")
+        return { 60,
+            { { "",
+                repeat("GET /none/1 HTTP/1.1\r\nHost: " + std::string(routeHost) + "\r\n"
+                    + platform_adapter::headerNames().requestId + ": " + std::string(8'000, 'i') + "\r\n\r\n"),
+                {}, pieceBytes, false } } };
     if (kind == "connections")
         return { 400, { {}, { "GET /read/", "", {} } } };
     return {};
