--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -14,6 +14,10 @@
 constexpr Duration minIdleBeforeClose = std::chrono::milliseconds(500);
 // Time for the caller to close its side after the last response.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
+// Reading stops while more bytes than this have arrived behind a request whose response is not complete.
+constexpr std::size_t maxBytesBehind = std::size_t { 16 } * 1024;
+// The next pipelined request is not started while more bytes of earlier responses than this are unread by the caller.
+constexpr std::size_t maxUnsentBeforeNext = std::size_t { 64 } * 1024;
 
 std::string secondsText(Duration time)
 {
@@ -29,18 +33,25 @@
     : context(edgeContext)
     , closedCallback(std::move(endCallback))
     , stream(edgeContext.reactor, descriptor, *this)
-    , idleSince(edgeContext.reactor.now())
+    , stageSince(edgeContext.reactor.now())
+    , sentSince(this->stageSince)
+    , idleSince(this->stageSince)
 {
-    auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
-    this->startTimer(limits.idleTimeout + idleTimeoutMargin, true);
+    this->startTimer(this->limits().idleTimeout + idleTimeoutMargin, true);
 }
 
 CallerConnection::~CallerConnection()
 {
+    this->context.memory.remove(this->owner());
     if (this->timer)
         this->context.reactor.cancel(*this->timer);
 }
 
+fleet::CallerLimits CallerConnection::limits() const
+{
+    return this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
+}
+
 void CallerConnection::startTimer(Duration limit, bool idle)
 {
     if (this->timer)
@@ -55,6 +66,7 @@
 {
     if (!idle && !this->closing) {
         ++this->context.counters.refused;
+        this->context.limitLog.count(CallerLimit::HeadTimeout);
         this->closeAfterResponse = true;
         this->sendLocalResponse(408, {}, "the header did not arrive in time");
         return;
@@ -78,14 +90,15 @@
         return;
     this->parsing = true;
     while (!this->closing && !this->stream.input().empty()) {
-        // A pipelined request waits until the response to this one is complete.
-        if (this->requestComplete)
+        // A pipelined request waits until the response to this one is complete, and earlier ones are read.
+        if (this->requestComplete || (!this->parser && this->stream.unsentBytes() > maxUnsentBeforeNext))
             break;
         if (!this->parser) {
-            auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
-            this->parser = std::make_unique<http::MessageParser>(http::MessageType::Request, limits.maxHeaderBytes);
+            this->parser
+                = std::make_unique<http::MessageParser>(http::MessageType::Request, this->limits().maxHeaderBytes);
             this->headStarted = true;
-            this->startTimer(limits.headerTimeout, false);
+            this->stageSince = this->context.reactor.now();
+            this->startTimer(this->limits().headerTimeout, false);
         }
         bool hadHead = this->parser->isHeadComplete();
         std::string early;
@@ -111,13 +124,33 @@
         this->requestComplete = this->parser->complete();
         if (this->request && !this->request->isFinished())
             this->request->onBody(this->requestComplete);
-        if (this->request && this->request->shouldPauseBody())
-            this->stream.setReading(false);
         this->prepareNextRequest();
-        if (valueOf(parsed) == 0)
+        if (valueOf(parsed) == 0) {
+            this->checkUnparsedInput();
             break;
+        }
     }
     this->parsing = false;
+    this->accountMemory();
+    this->holdBackIfNeeded();
+    this->updateReading();
+}
+
+// The parser consumes whole chunk headers and trailers, so a caller that never ends one would fill the input buffer.
+void CallerConnection::checkUnparsedInput()
+{
+    if (this->closing || !this->parser || this->stream.input().size() <= this->limits().maxHeaderBytes)
+        return;
+    this->context.limitLog.count(CallerLimit::ChunkOverhead);
+    this->close();
+}
+
+void CallerConnection::updateReading()
+{
+    bool bodyPaused = this->request && !this->requestComplete && this->request->shouldPauseBody();
+    bool waits = this->requestComplete || (!this->parser && this->stream.unsentBytes() > maxUnsentBeforeNext);
+    bool full = waits && this->stream.input().size() > maxBytesBehind;
+    this->stream.setReading(this->closing || !(bodyPaused || full || (this->heldBack && this->isBodyArriving())));
 }
 
 void CallerConnection::startRequest()
@@ -128,11 +161,18 @@
     const auto& head = this->parser->head();
     this->responseComplete = false;
     this->closeAfterResponse = !head.keepAlive;
-    if (this->continueExpected(head))
+    bool refuseBody = this->refuseBodyForMemory(head);
+    this->stageSince = this->context.reactor.now();
+    this->stageBytes = 0;
+    if (!refuseBody && this->continueExpected(head))
         this->stream.write("HTTP/1.1 100 Continue\r\n\r\n");
     ResponseSink& self = *this;
     this->request = std::make_unique<CallerRequest>(this->context, self, head);
     this->request->start();
+    if (refuseBody && !this->request->isFinished()) {
+        this->context.limitLog.count(CallerLimit::MemoryRefused);
+        this->request->refuseUnsent(503, this->memoryRetryAfter(), "memory is short at this host");
+    }
 }
 
 bool CallerConnection::continueExpected(const http::MessageHead& head) const
@@ -156,7 +196,10 @@
     }
     bool tooLarge = error.kind == ErrorKind::InvalidArgument;
     ++this->context.counters.refused;
+    this->context.limitLog.count(CallerLimit::MalformedHead);
     this->sendLocalResponse(tooLarge ? 431 : 400, {}, error.message);
+    // The bytes that follow have no meaning.
+    this->closeGracefully();
 }
 
 bool CallerConnection::closesAfterResponse() const
@@ -247,8 +290,7 @@
 
 void CallerConnection::resumeBody()
 {
-    if (!this->closing && !this->requestComplete)
-        this->stream.setReading(true);
+    this->updateReading();
 }
 
 void CallerConnection::onResponseWritten()
@@ -272,7 +314,7 @@
         return;
     if (!this->requestComplete && this->parser && this->parser->isHeadComplete()) {
         // The rest of the body is read and discarded, so that the caller can read its response.
-        this->stream.setReading(true);
+        this->updateReading();
         if (!this->timer)
             this->startTimer(lingerTimeout * 5, true);
         return;
@@ -287,15 +329,16 @@
         this->closeGracefully();
         return;
     }
-    this->stream.setReading(true);
-    auto limits = this->context.configuration ? this->context.configuration->limits : fleet::CallerLimits {};
-    this->startTimer(limits.idleTimeout + idleTimeoutMargin, true);
+    this->updateReading();
+    this->startTimer(this->limits().idleTimeout + idleTimeoutMargin, true);
 }
 
 void CallerConnection::onDrained()
 {
     if (this->request)
         this->request->onSinkDrained();
+    if (!this->parser && !this->closing)
+        this->parseInput();
 }
 
 void CallerConnection::onEnd(net::StreamEnd end)
@@ -324,6 +367,8 @@
     if (this->closing)
         return;
     this->closing = true;
+    this->stream.consume(this->stream.input().size());
+    this->updateReading();
     this->stream.finishWriting();
     this->startTimer(lingerTimeout, true);
 }
@@ -333,6 +378,7 @@
     this->closing = true;
     if (this->request && !this->request->isFinished())
         this->request->abandon();
+    this->context.memory.remove(this->owner());
     this->stream.close();
     this->closedCallback(*this);
 }
