--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -27,6 +27,9 @@
 constexpr double handoverShareRatio = 2;
 // Changes of the number of cold servers are logged this often.
 constexpr Duration coldServerLogInterval = std::chrono::seconds(1);
+// A coordinator that has forgotten this host sends it no beacons. The host names itself by its number only while
+// several of the last ones have arrived.
+constexpr Duration hostNumberValidity = std::chrono::milliseconds(450);
 constexpr Duration planReadRetryInterval = std::chrono::milliseconds(150);
 
 }
@@ -213,8 +216,10 @@
     }
     if (fromHost || datagram.term() < this->coordinatorTerm)
         return;
-    if (datagram.term() != this->coordinatorTerm)
+    if (datagram.term() != this->coordinatorTerm) {
         this->coordinatorDataCentre.clear();
+        this->hostNumber = 0;
+    }
     this->coordinatorTerm = datagram.term();
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender);
@@ -241,6 +246,7 @@
     this->placement->setHostCount(beacon.hosts());
     if (!beacon.data_centre().empty())
         this->coordinatorDataCentre = beacon.data_centre();
+    this->hostNumber = beacon.host_number();
     if (beacon.host_number() != 0)
         this->placement->setHostNumber(beacon.host_number());
 }
@@ -303,6 +309,10 @@
 void CoordinationTask::sendToCoordinator(wire::Datagram& datagram)
 {
     datagram.set_term(this->coordinatorTerm);
+    if (this->hostNumber != 0 && this->reactor.now() - this->lastBeaconReceived < hostNumberValidity) {
+        datagram.clear_sender();
+        datagram.set_host_number(this->hostNumber);
+    }
     this->sender.send(datagram, this->election.coordinatorAddress(),
         coordination::trafficScope(this->dataCentre, this->coordinatorDataCentre));
 }
