Soak: evacuations of data centres and their withdrawal at random

Cause: evacuations were tested on the manual clock only. Change: a planned fault writes the operators' row for one of the two data centres, or for a name that is none, and removes it after 0.5 to 15 s; the oracle reports requests that start there after the bound of 5 s. No server is drained meanwhile, since a service could be left without servers.

--- a/tests/soak/src/FaultSchedule.cpp
+++ b/tests/soak/src/FaultSchedule.cpp
@@ -6,13 +6,16 @@
 
 namespace {
 
-constexpr std::size_t plannedKinds = 4;
+constexpr std::size_t plannedKinds = 5;
 // Faults follow each other closely enough to overlap, and planned work seldom enough to end.
 constexpr std::int64_t shortestGapMillis = 200;
 constexpr std::int64_t longestGapMillis = 1800;
 constexpr std::int64_t plannedGapMillis = 1500;
 constexpr std::int64_t shortestFaultMillis = 300;
 constexpr std::int64_t longestFaultMillis = 6000;
+// Some evacuations are withdrawn before they are complete.
+constexpr std::int64_t shortestEvacuationMillis = 500;
+constexpr std::int64_t longestEvacuationMillis = 15'000;
 
 }
 
@@ -61,10 +64,12 @@
     auto& server = this->fleet.servers()[this->random() % this->fleet.servers().size()];
     this->log("event=fault kind=" + std::string(nameOf(faultKindNames, kind)) + " for_ms="
         + std::to_string(toMillis(time)) + " host=" + host.address + " server=" + server.standIn->options().id);
-    if (kind > FaultKind::ConfigurationChanges)
+    if (kind > FaultKind::EvacuationStarts)
         this->oracle.disturbed(time);
     if (kind == FaultKind::ConfigurationChanges)
         this->fleet.changeConfiguration();
+    else if (kind == FaultKind::EvacuationStarts)
+        this->evacuate();
     else if (kind <= FaultKind::HostPaused && kind != FaultKind::ServerDrains)
         this->disturbHost(kind, host, time);
     else if (kind >= FaultKind::StoreUnavailable && kind <= FaultKind::StoreLink)
@@ -73,6 +78,16 @@
         this->disturbServer(kind, server, time);
 }
 
+void FaultSchedule::evacuate()
+{
+    auto name = this->fleet.startEvacuation(this->random());
+    if (name.empty())
+        return;
+    auto time = this->drawTime(shortestEvacuationMillis, longestEvacuationMillis);
+    this->log("event=evacuation data_centre=\"" + name + "\" for_ms=" + std::to_string(toMillis(time)));
+    this->after(time, [this, name] { this->fleet.endEvacuation(name); });
+}
+
 void FaultSchedule::resume(Host& host)
 {
     if (!host.stopped)
@@ -212,6 +227,7 @@
 {
     this->running = false;
     this->fleet.store().faults() = {};
+    this->fleet.endEvacuation();
     for (auto& host : this->fleet.hosts()) {
         host.storeLink->setState(LinkState::Passing);
         this->resume(host);
--- a/tests/soak/src/FaultSchedule.h
+++ b/tests/soak/src/FaultSchedule.h
@@ -12,6 +12,7 @@
     HostReloads, //!< the settings change, and one host gets SIGHUP; planned work
     ServerDrains, //!< planned work
     ConfigurationChanges, //!< planned work
+    EvacuationStarts, //!< of a data centre, withdrawn later; planned work
     HostKilled,
     AllHostsKilled,
     HostPaused,
@@ -31,11 +32,12 @@
     ServerLink,
 };
 
-inline constexpr EnumTable<FaultKind, 21> faultKindNames { {
+inline constexpr EnumTable<FaultKind, 22> faultKindNames { {
     { FaultKind::HostStops, "host-stops" },
     { FaultKind::HostReloads, "host-reloads" },
     { FaultKind::ServerDrains, "server-drains" },
     { FaultKind::ConfigurationChanges, "configuration-changes" },
+    { FaultKind::EvacuationStarts, "evacuation-starts" },
     { FaultKind::HostKilled, "host-killed" },
     { FaultKind::AllHostsKilled, "all-hosts-killed" },
     { FaultKind::HostPaused, "host-paused" },
@@ -70,6 +72,7 @@
 private:
     void next();
     void carryOut(FaultKind kind);
+    void evacuate();
     void disturbHost(FaultKind kind, Host& host, Duration time);
     void disturbStore(FaultKind kind, Duration time);
     void disturbServer(FaultKind kind, Server& server, Duration time);
--- a/tests/soak/src/Fleet.cpp
+++ b/tests/soak/src/Fleet.cpp
@@ -20,6 +20,8 @@
 // A backend server serves for this time after it said that it leaves, and ends then.
 constexpr Duration drainTime = std::chrono::milliseconds(2000);
 constexpr Duration drainSlack = std::chrono::milliseconds(300);
+// Time within which an evacuated data centre gets no more requests.
+constexpr Duration evacuationTime = std::chrono::milliseconds(5000);
 constexpr Duration lifeAfterDrain = std::chrono::milliseconds(3500);
 constexpr Duration restartPause = std::chrono::milliseconds(300);
 constexpr Duration graceTime = std::chrono::seconds(6);
@@ -127,7 +129,8 @@
 
 void Fleet::drainServer(Server& server)
 {
-    if (!server.standIn->isUp() || server.state == fleet::ServerState::Draining)
+    // While a data centre is evacuated, the others have too few servers to lose one.
+    if (!server.standIn->isUp() || server.state == fleet::ServerState::Draining || !this->evacuated.empty())
         return;
     server.state = fleet::ServerState::Draining;
     server.lastEntry = {};
@@ -142,6 +145,30 @@
     });
 }
 
+std::string Fleet::startEvacuation(std::uint64_t random)
+{
+    for (const auto& server : this->allServers) {
+        if (server.state == fleet::ServerState::Draining || !server.standIn->isUp())
+            return "";
+    }
+    if (!this->evacuated.empty())
+        return "";
+    constexpr const char* names[] = { "dc-0", "dc-1", "no such place" };
+    this->evacuated = names[random % std::size(names)];
+    this->rows.put(std::string(platform_adapter::operatorTable), "evacuate/" + this->evacuated, "{}");
+    this->oracle.evacuated(this->evacuated, evacuationTime);
+    return this->evacuated;
+}
+
+void Fleet::endEvacuation(const std::string& name)
+{
+    if (this->evacuated != name || name.empty())
+        return;
+    this->oracle.evacuationEnded(name);
+    this->rows.remove(std::string(platform_adapter::operatorTable), "evacuate/" + name);
+    this->evacuated.clear();
+}
+
 // Entries are renewed by their servers and end when they are not; the operator and the servers write directly.
 void Fleet::beat()
 {
@@ -194,7 +221,8 @@
     host.settingsFile = this->options.directory + "/host-" + std::to_string(number) + ".ini";
     std::stringstream fixed;
     fixed << "[host]\nid=host-" << number << "\ndata_centre=dc-" << number % 2
-          << "\n[node]\nprocessor_share=" << (number % 2 == 0 ? 0.5 : 0.2) << "\n[metrics]\nlisten=" << ip
+          << "\n[node]\nprocessor_share=" << (number % 2 == 0 ? 0.5 : 0.2)
+          << "\n[evacuation]\nbound=" << toMillis(evacuationTime) << "ms\n[metrics]\nlisten=" << ip
           << ":7003\n[peers]\nlisten=" << ip << ":7004\n[store]\naddress=" << host.storeLink->address()
           << "\n[edge]\nlisten=" << host.address << "\nready_listen=" << host.readyAddress << "\n";
     host.fixedSettings = fixed.str();
--- a/tests/soak/src/Fleet.h
+++ b/tests/soak/src/Fleet.h
@@ -63,6 +63,11 @@
 
     void startServer(Server& server);
     //! The server says that it leaves and ends after the users' draining time.
+    //! Writes the operators' row for a drawn name, unless a server is missing. Returns the name, or an empty text.
+    std::string startEvacuation(std::uint64_t random);
+    //! Removes the row if the data centre is still evacuated.
+    void endEvacuation(const std::string& name);
+    void endEvacuation() { this->endEvacuation(std::string(this->evacuated)); }
     void drainServer(Server& server);
     void changeConfiguration();
     //! Writes the host's settings anew, with bounds of other sizes and forms. Hosts differ for a while.
@@ -87,6 +92,7 @@
     std::vector<Server> allServers;
     std::vector<Host> allHosts;
     std::vector<fleet::Route> currentRoutes;
+    std::string evacuated; //!< data centre, or empty
     std::uint64_t configurationVersion = 0;
     bool ending = false;
 };
--- a/tests/soak/src/Oracle.cpp
+++ b/tests/soak/src/Oracle.cpp
@@ -58,14 +58,21 @@
         this->report("twice", "request=" + request.id + " server=" + id);
     if (!idempotent && record.refusedWith != 0)
         this->report("refused", "request=" + request.id + " server=" + id + " reason=runs-after-refusal");
-    auto left = this->leavings.find(id);
-    if (left != this->leavings.end() && this->clock.now() > left->second.closedFrom
-        && this->disturbedUntil + contactTime < left->second.told)
+    if (this->isViolated(this->leavings, id))
         this->report("drain", "request=" + request.id + " server=" + id);
+    if (this->isViolated(this->evacuations, server.options().dataCentre))
+        this->report("evacuation", "request=" + request.id + " server=" + id);
     if (request.key)
         this->checkOwner(server, *request.key);
 }
 
+bool Oracle::isViolated(const std::map<std::string, Leaving>& bounds, const std::string& name) const
+{
+    auto found = bounds.find(name);
+    return found != bounds.end() && this->clock.now() > found->second.closedFrom
+        && this->disturbedUntil + contactTime < found->second.told;
+}
+
 void Oracle::checkOwner(const platform_standin::ServerStandIn& server, fleet::Key key)
 {
     for (const auto* other : this->servers) {
@@ -130,6 +137,12 @@
     this->leavings.try_emplace(server, Leaving { now, now + bound });
 }
 
+void Oracle::evacuated(const std::string& dataCentre, Duration bound)
+{
+    auto now = this->clock.now();
+    this->evacuations[dataCentre] = { now, now + bound };
+}
+
 void Oracle::disturbed(Duration time)
 {
     this->disturbedUntil = std::max(this->disturbedUntil, this->clock.now() + time);
--- a/tests/soak/src/Oracle.h
+++ b/tests/soak/src/Oracle.h
@@ -34,6 +34,9 @@
     //! The server said that it leaves; nothing may reach it when `bound` has passed. Lifted when it starts anew.
     void leaving(const std::string& server, Duration bound);
     void startedAnew(const std::string& server) { this->leavings.erase(server); }
+    //! Nothing may reach the servers of the data centre when `bound` has passed, until the evacuation ends.
+    void evacuated(const std::string& dataCentre, Duration bound);
+    void evacuationEnded(const std::string& dataCentre) { this->evacuations.erase(dataCentre); }
     //! Bounds in time do not bind while something is disturbed and for a moment after.
     void disturbed(Duration time);
     //! Orders that a thawed host or a healed link delivers in the next moment excuse two owners, as the users' rules
@@ -62,6 +65,7 @@
         fleet::FencingToken fence = 0;
     };
 
+    bool isViolated(const std::map<std::string, Leaving>& bounds, const std::string& name) const;
     void checkOwner(const platform_standin::ServerStandIn& server, fleet::Key key);
     void report(const std::string& promise, const std::string& details);
 
@@ -70,6 +74,7 @@
     std::vector<const platform_standin::ServerStandIn*> servers;
     std::map<std::string, Record> records;
     std::map<std::string, Leaving> leavings; //!< by server
+    std::map<std::string, Leaving> evacuations; //!< by data centre
     TimePoint disturbedUntil {};
     std::map<std::string, std::vector<Holder>> lastHolders; //!< by service, then by key
     std::map<std::string, TimePoint> lastGrant; //!< by server
--- a/tests/soak/tests/OracleTest.cpp
+++ b/tests/soak/tests/OracleTest.cpp
@@ -148,6 +148,26 @@
     CHECK(judged.promises.size() == 1);
 }
 
+TEST_CASE("a run in an evacuated data centre is reported after the bound, until the evacuation ends")
+{
+    Judged judged;
+    auto run = [&](const char* id) {
+        judged.oracle.onRequestStarted(judged.first, judged.send(id, fleet::RequestKind::Idempotent));
+    };
+    judged.clock.advance(std::chrono::seconds(10));
+    judged.oracle.evacuated("elsewhere", std::chrono::seconds(1));
+    judged.oracle.evacuated(judged.first.options().dataCentre, std::chrono::seconds(5));
+    judged.clock.advance(std::chrono::seconds(4));
+    run("a");
+    CHECK(judged.promises.empty());
+    judged.clock.advance(std::chrono::seconds(2));
+    run("b");
+    CHECK(judged.promises == Promises { "evacuation" });
+    judged.oracle.evacuationEnded(judged.first.options().dataCentre);
+    run("c");
+    CHECK(judged.promises.size() == 1);
+}
+
 TEST_CASE("a run for a key that two servers hold is reported, unless a thawed host has just ordered it")
 {
     Judged judged;
