Load reports of servers: choice by the pace of the moment, and work of others

Cause: the load that servers state in their responses was not read. A server that is three times slower for 400 ms got jobs as before until these had ended late. The limits for cold servers also changed how a job on the last free slot was counted: the order within one statement of ServerLoad::jobPlaced depended on the size of the structure; it is explicit now, with a test. Change: edge decodes the header, JobEnd.load takes it to the scheduler, ServerLoad keeps pace and work of others. Own samples are divided by the pace. Capacity of keys and rejections use the speed without the pace of the moment. Invalid values are counted (sequoia_load_reports_invalid_total) and logged once per server and 10 s. docs/design/load-reports.md.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -60,7 +60,8 @@
     //! Removes a waiting job.
     void withdraw(JobId job);
     //! Reports the end of a placed job.
-    std::vector<SchedulingDecision> jobEnded(JobId job, JobResult result, Duration elapsed, TimePoint now);
+    std::vector<SchedulingDecision> jobEnded(JobId job, JobResult result, Duration elapsed, TimePoint now,
+        const std::optional<ServerReport>& report = std::nullopt);
     //! Places waiting jobs on free slots, and refuses those that can no longer meet their deadlines.
     std::vector<SchedulingDecision> tick(TimePoint now);
     //! Removes the jobs of a host that has left.
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -2,6 +2,8 @@
 
 #include "balance/ColdRateLimiter.h"
 #include "balance/Job.h"
+#include "balance/ServerPace.h"
+#include "balance/ServerReport.h"
 #include "fleet/ServerEntry.h"
 
 #include <map>
@@ -37,6 +39,8 @@
     Duration serviceTime(JobId job, Duration elapsed, TimePoint now) const;
     //! `elapsed` is the service time of the job, `averageServiceTime` the average of the service.
     void jobEnded(JobId job, JobResult result, Duration elapsed, Duration averageServiceTime, TimePoint now);
+    //! Takes the load that the server stated in its response to a job, before the end of the job is reported.
+    void recordReport(const ServerReport& report, TimePoint now);
     bool hasJob(JobId job) const { return this->jobs.contains(job); }
 
     const fleet::ServerEntry& entry() const { return this->serverEntry; }
@@ -55,6 +59,8 @@
 
     //! Expected service time of a job relative to the average of the service; above 1 is slower.
     double slowness(Duration averageServiceTime, TimePoint now) const;
+    //! The same without the pace of the moment, for decisions that last longer.
+    double steadySlowness(Duration averageServiceTime, TimePoint now) const;
     //! Moving average of the share of jobs that were rejected or failed.
     double failureRate(TimePoint now) const;
     //! Whether the host has used this server recently, so that it probably has an open connection to it.
@@ -74,9 +80,11 @@
         bool queued = false; //!< all slots were taken, so that the job waits at the server
         bool wasQueued = false; //!< the job has waited at the server before
         double coldTokens = 0; //!< taken from the limiter for the job
+        double pace = 1; //!< expected when the work on the job started
     };
 
     void startQueued(TimePoint now);
+    void updateSlowness(Duration averageServiceTime, TimePoint now) const;
 
     std::map<JobId, PlacedJob> jobs;
     unsigned otherHostsInFlight = 0;
@@ -92,9 +100,13 @@
     TimePoint lastSample {};
     std::map<std::uint64_t, TimePoint> lastUse; //!< by host
     std::map<std::uint64_t, TimePoint> pauses; //!< by host
-    //! Cached result of slowness(), which is called for every server at each placement.
+    ServerPace pace;
+    unsigned foreignJobs = 0; //!< stated by the server and unknown here
+    TimePoint foreignJobsAt {};
+    //! Cached results of slowness() and steadySlowness(), which are called for every server at each placement.
     mutable TimePoint slownessTime {};
     mutable double slownessValue = 1;
+    mutable double steadySlownessValue = 1;
 };
 
 }
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -305,7 +305,8 @@
     this->waiting.erase(found);
 }
 
-std::vector<SchedulingDecision> Scheduler::jobEnded(JobId job, JobResult result, Duration elapsed, TimePoint now)
+std::vector<SchedulingDecision> Scheduler::jobEnded(
+    JobId job, JobResult result, Duration elapsed, TimePoint now, const std::optional<ServerReport>& report)
 {
     std::vector<SchedulingDecision> decisions;
     auto found = this->placements.find(job);
@@ -321,6 +322,8 @@
             double sample = static_cast<double>(elapsed.count());
             pool.averageServiceMicros += newestSampleWeight * (sample - pool.averageServiceMicros);
         }
+        if (report)
+            load->second.recordReport(*report, now);
         load->second.jobEnded(job, result, elapsed, pool.averageServiceTime(), now);
     }
     if (result == JobResult::Lost)
@@ -480,9 +483,13 @@
         if (load.entry().dataCentre != job.dataCentre)
             cost *= otherDataCentreFactor;
         cost *= this->spreadFactor(id);
-        // Waiting for another server is better than a slow one that would make the job late.
+        // Waiting for another server is better than a slow one that would make the job late. One that is slow only for
+        // the moment, as it states itself, still makes progress.
         double expectedMicros = averageMicros * load.slowness(pool.averageServiceTime(), now);
-        if (cost > slowServerFactor && now + Duration(static_cast<std::int64_t>(expectedMicros)) > job.target)
+        double steady = load.steadySlowness(pool.averageServiceTime(), now);
+        double pace = load.slowness(pool.averageServiceTime(), now) / steady;
+        if (cost / pace > slowServerFactor
+            && now + Duration(static_cast<std::int64_t>(averageMicros * steady)) > job.target)
             continue;
         if (!best || cost < bestCost) {
             best = member;
@@ -551,7 +558,7 @@
     if (pool.keyed && !name.empty()) {
         auto load = this->loads.find(name);
         if (load != this->loads.end())
-            serviceMicros *= load->second.slowness(pool.averageServiceTime(), now);
+            serviceMicros *= load->second.steadySlowness(pool.averageServiceTime(), now);
     }
     double waitMicros = 0;
     if (pool.keyed && name.empty())
--- a/libs/balance/src/ServerLoad.cpp
+++ b/libs/balance/src/ServerLoad.cpp
@@ -32,6 +32,8 @@
 constexpr Duration answerValidity = std::chrono::milliseconds(500);
 // An entry shows within this time that its server is cold: servers write it every 0.87 s, hosts read it every 0.8 s.
 constexpr Duration entryDelay = std::chrono::seconds(2);
+// Jobs of others that a server states count for this time, about one job.
+constexpr Duration reportValidity = std::chrono::milliseconds(200);
 constexpr Duration slownessCacheTime = std::chrono::milliseconds(20);
 // Time constant with which the measurements decay without new answers, so that a slow or failing server is tried again.
 constexpr double decayTimeConstantMicros = 3e6;
@@ -118,7 +120,9 @@
 void ServerLoad::jobPlaced(JobId job, TimePoint now)
 {
     double coldTokens = this->coldLimiter ? this->coldLimiter->recordStart(now) : 0;
-    this->jobs[job] = { now, this->inFlight() >= this->serverEntry.slots, false, coldTokens };
+    // Computed before the job is added: compilers differ in the order within one statement.
+    bool allSlotsTaken = this->inFlight() >= this->serverEntry.slots;
+    this->jobs[job] = { now, allSlotsTaken, false, coldTokens, this->pace.relativeAt(now) };
 }
 
 Duration ServerLoad::serviceTime(JobId job, Duration elapsed, TimePoint now) const
@@ -142,7 +146,7 @@
             first = &job;
     }
     if (first)
-        *first = { now, false, true, first->coldTokens };
+        *first = { now, false, true, first->coldTokens, this->pace.relativeAt(now) };
 }
 
 void ServerLoad::jobEnded(JobId job, JobResult result, Duration elapsed, Duration averageServiceTime, TimePoint now)
@@ -151,6 +155,8 @@
     if (placed == this->jobs.end())
         return;
     double coldTokens = placed->second.coldTokens;
+    // The measured speed is that of the server, not that of the moment.
+    double paceOfJob = (placed->second.pace + this->pace.relativeAt(now)) / 2;
     this->jobs.erase(placed);
     this->startQueued(now);
     if (result == JobResult::Answered || result == JobResult::ServerError)
@@ -167,6 +173,7 @@
             : 1;
         if (now < this->warmUpEnd)
             sample /= coldFactor;
+        sample /= paceOfJob;
         addSample(this->relativeServiceTime, std::min(sample, maxRelativeServiceTime));
         addSample(this->averageFailures, result == JobResult::TimedOut ? 1 : 0);
         this->consecutiveFailures = result == JobResult::TimedOut ? this->consecutiveFailures : 0;
@@ -224,36 +231,73 @@
 bool ServerLoad::hasFreeSlot(unsigned extra, double share, TimePoint now) const
 {
     auto maxJobs = std::max(1.0, std::ceil((this->serverEntry.slots + extra) * share));
-    return !this->isHeldByColdLimit(now) && this->isUsable(now) && this->inFlight() < static_cast<unsigned>(maxJobs);
+    if (this->isHeldByColdLimit(now) || !this->isUsable(now))
+        return false;
+    // Whatever a server states, it gets one job at a time, whose response shows whether the statement still holds.
+    auto foreign = now - this->foreignJobsAt < reportValidity
+        ? std::min(this->foreignJobs, static_cast<unsigned>(maxJobs) - 1)
+        : 0;
+    return this->inFlight() + foreign < static_cast<unsigned>(maxJobs);
+}
+
+// Jobs that are on their way to the server or back are known here and not to the server, so that the difference is
+// rather too small.
+void ServerLoad::recordReport(const ServerReport& report, TimePoint now)
+{
+    if (report.pacePercent != 0) {
+        this->pace.record(report.pacePercent, now);
+        this->slownessTime = {};
+    }
+    if (report.slots == 0)
+        return;
+    auto stated = std::min(report.running, report.slots) + std::min(report.waiting, maxReportedRequests);
+    auto known = this->inFlight();
+    this->foreignJobs = stated > known ? stated - known : 0;
+    this->foreignJobsAt = now;
 }
 
 double ServerLoad::jobsPerServiceTime(Duration averageServiceTime, TimePoint now) const
 {
     if (!this->isUsable(now))
         return 0;
-    double jobs = this->serverEntry.slots / this->slowness(averageServiceTime, now);
+    double jobs = this->serverEntry.slots / this->steadySlowness(averageServiceTime, now);
     if (!this->isCold(now))
         return jobs;
     return std::min(jobs, this->coldRate(now) * std::chrono::duration<double>(averageServiceTime).count());
 }
 
 double ServerLoad::slowness(Duration averageServiceTime, TimePoint now) const
+{
+    this->updateSlowness(averageServiceTime, now);
+    return this->slownessValue;
+}
+
+double ServerLoad::steadySlowness(Duration averageServiceTime, TimePoint now) const
+{
+    this->updateSlowness(averageServiceTime, now);
+    return this->steadySlownessValue;
+}
+
+void ServerLoad::updateSlowness(Duration averageServiceTime, TimePoint now) const
 {
     if (now - this->slownessTime < slownessCacheTime)
-        return this->slownessValue;
+        return;
     double measured = 1 + (this->relativeServiceTime - 1) * this->sampleWeight(now);
-    double expected = measured * (now < this->warmUpEnd ? coldFactor : 1);
+    double steady = measured * (now < this->warmUpEnd ? coldFactor : 1);
+    double overdue = 0;
     for (const auto& [id, job] : this->jobs) {
         if (job.queued)
             continue;
         double age = static_cast<double>((now - job.start).count())
             / std::max(1.0, static_cast<double>(averageServiceTime.count()));
-        if (age > overdueFactor * expected)
-            expected = std::max(expected, age / overdueFactor);
+        // A job that started while the server was slow is older without being overdue.
+        if (age > overdueFactor * steady * std::max(1.0, job.pace))
+            overdue = std::max(overdue, age / overdueFactor);
     }
     this->slownessTime = now;
-    this->slownessValue = std::clamp(expected, 0.05, maxRelativeServiceTime);
-    return this->slownessValue;
+    auto bounded = [](double value) { return std::clamp(value, 0.05, maxRelativeServiceTime); };
+    this->steadySlownessValue = bounded(std::max(steady, overdue));
+    this->slownessValue = bounded(std::max(steady * this->pace.relativeAt(now), overdue));
 }
 
 double ServerLoad::failureRate(TimePoint now) const
--- a/libs/coordination/include/coordination/JobMessages.h
+++ b/libs/coordination/include/coordination/JobMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/Job.h"
+#include "balance/ServerReport.h"
 
 #include <optional>
 #include <peer.pb.h>
@@ -17,5 +18,8 @@
 //! Returns null for a number that is no result.
 std::optional<balance::JobResult> jobResultOf(std::uint32_t number);
 std::optional<balance::RefusalReason> refusalReasonOf(std::uint32_t number);
+void fillServerReport(const balance::ServerReport& report, wire::ServerLoadReport& message);
+//! Returns null if the server stated no load. Figures are bounded.
+std::optional<balance::ServerReport> serverReportOf(const wire::JobEnd& message);
 
 }
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -30,7 +30,8 @@
 
     void submit(const balance::Job& job, edge::PlacementObserver& observer) override;
     void withdraw(std::uint64_t job) override;
-    void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
+    void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed,
+        const std::optional<balance::ServerReport>& load = std::nullopt) override;
     bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) override;
 
     //! Makes hosts prefer different servers among equal ones while they place jobs locally.
@@ -97,7 +98,8 @@
     void applyServers();
     std::string addressOf(const std::string& server) const;
     void onJobRefused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter);
-    void queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed);
+    void queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed,
+        const std::optional<balance::ServerReport>& load = std::nullopt);
 
     const Clock& clock;
     ScheduleSend scheduleSend;
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -211,8 +211,8 @@
     for (const auto& end : datagram.ends()) {
         auto elapsed = std::min<std::uint64_t>(end.elapsed_us(), static_cast<std::uint64_t>(maxJobTime.count()));
         if (auto result = jobResultOf(end.result()))
-            this->addDecisions(this->scheduler.jobEnded(
-                { host.number, end.job() }, *result, Duration(static_cast<std::int64_t>(elapsed)), now));
+            this->addDecisions(this->scheduler.jobEnded({ host.number, end.job() }, *result,
+                Duration(static_cast<std::int64_t>(elapsed)), now, serverReportOf(end)));
     }
     for (const auto& withdrawal : datagram.withdrawals()) {
         balance::JobId id { host.number, withdrawal.job() };
@@ -423,7 +423,7 @@
         for (const auto& [id, load] : this->scheduler.servers()) {
             if (load.entry().service != service || load.entry().state != fleet::ServerState::Ready)
                 continue;
-            double capacity = load.entry().slots * jobsPerSecondPerSlot / load.slowness(averageServiceTime, now);
+            double capacity = load.entry().slots * jobsPerSecondPerSlot / load.steadySlowness(averageServiceTime, now);
             if (load.isCold(now))
                 capacity = std::min(capacity, load.coldRate(now));
             capacities[load.entry().instance] = capacity;
@@ -459,6 +459,7 @@
         entry->second = std::min(entry->second, host.roundTripTime);
     }
     std::vector<Duration> times;
+    times.reserve(shortest.size());
     for (const auto& [dataCentre, time] : shortest)
         times.push_back(time);
     std::sort(times.begin(), times.end());
--- a/libs/coordination/src/JobMessages.cpp
+++ b/libs/coordination/src/JobMessages.cpp
@@ -45,6 +45,25 @@
     return static_cast<balance::RefusalReason>(number);
 }
 
+void fillServerReport(const balance::ServerReport& report, wire::ServerLoadReport& message)
+{
+    message.set_running(report.running);
+    message.set_waiting(report.waiting);
+    message.set_slots(report.slots);
+    message.set_pace_percent(report.pacePercent);
+}
+
+std::optional<balance::ServerReport> serverReportOf(const wire::JobEnd& message)
+{
+    if (!message.has_load())
+        return std::nullopt;
+    auto bounded = [](std::uint32_t value, std::uint32_t limit) { return std::min(value, limit); };
+    const auto& load = message.load();
+    return balance::ServerReport { bounded(load.running(), balance::maxReportedRequests),
+        bounded(load.waiting(), balance::maxReportedRequests), bounded(load.slots(), balance::maxReportedRequests),
+        bounded(load.pace_percent(), balance::maxPacePercent) };
+}
+
 std::optional<balance::Job> makeJob(const wire::Submit& message, std::uint64_t host, TimePoint now)
 {
     if (message.keyed() && message.key() >= fleet::keyCount)
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -101,7 +101,8 @@
     this->pendingJobs.erase(found);
 }
 
-void PlacementClient::reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed)
+void PlacementClient::reportEnd(
+    std::uint64_t job, balance::JobResult result, Duration elapsed, const std::optional<balance::ServerReport>& load)
 {
     auto found = this->placedJobs.find(job);
     if (found == this->placedJobs.end())
@@ -110,9 +111,9 @@
     bool isKnownToCoordinator = placementTerm == this->term && found->second.hostNumber == this->hostNumber;
     this->placedJobs.erase(found);
     if (isKnownToCoordinator && placementTerm != 0)
-        this->queueJobEnd(job, result, elapsed);
+        this->queueJobEnd(job, result, elapsed, load);
     else if (placementTerm == 0)
-        this->applyDecisions(this->scheduler.jobEnded({ 0, job }, result, elapsed, this->clock.now()));
+        this->applyDecisions(this->scheduler.jobEnded({ 0, job }, result, elapsed, this->clock.now(), load));
 }
 
 bool PlacementClient::reportNotice(std::uint64_t job, const balance::ServerNotice& notice)
@@ -171,12 +172,15 @@
         *datagram.add_notices() = this->noticeOf(instance);
 }
 
-void PlacementClient::queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed)
+void PlacementClient::queueJobEnd(
+    std::uint64_t number, balance::JobResult result, Duration elapsed, const std::optional<balance::ServerReport>& load)
 {
     wire::JobEnd end;
     end.set_job(number);
     end.set_result(static_cast<std::uint32_t>(result));
     end.set_elapsed_us(static_cast<std::uint64_t>(elapsed.count()));
+    if (load)
+        fillServerReport(*load, *end.mutable_load());
     this->recentJobEnds.emplace_back(this->clock.now(), end);
     this->hasOutgoing = true;
     this->scheduleSend();
--- a/libs/edge/include/edge/EdgeCounters.h
+++ b/libs/edge/include/edge/EdgeCounters.h
@@ -13,6 +13,7 @@
     std::uint64_t callersGone = 0;
     std::uint64_t attempts = 0; //!< requests sent to backend servers
     std::uint64_t connections = 0; //!< callers' connections accepted
+    std::uint64_t invalidLoadReports = 0; //!< of servers, ignored or bounded
 };
 
 }
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -41,6 +41,7 @@
     std::map<std::string, Duration> longestDeadline;
     //! Servers, as named in the pool, that have rejected requests without repeating their ids.
     std::set<std::string> serversWithoutIds;
+    std::map<std::string, TimePoint> invalidLoadLoggedAt; //!< by server
 };
 
 //! HTTP server that forwards the requests of callers to backend servers.
--- a/libs/edge/include/edge/HeaderNames.h
+++ b/libs/edge/include/edge/HeaderNames.h
@@ -13,6 +13,7 @@
     std::string notExecuted; //!< set if the server did not execute the request
     std::string key; //!< key of a keyed service
     std::string leaving; //!< set to 1 by a server that takes no new requests
+    std::string load; //!< load that a server states; empty if servers state none
 };
 
 }
--- a/libs/edge/include/edge/Placer.h
+++ b/libs/edge/include/edge/Placer.h
@@ -2,8 +2,10 @@
 
 #include "balance/Job.h"
 #include "balance/ServerNotice.h"
+#include "balance/ServerReport.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sequoia::edge {
@@ -37,8 +39,10 @@
     virtual void submit(const balance::Job& job, PlacementObserver& observer) = 0;
     //! Cancels a job that is not placed yet.
     virtual void withdraw(std::uint64_t job) = 0;
-    //! Reports the end of a placed job.
-    virtual void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) = 0;
+    //! Reports the end of a placed job, with the load that its server stated.
+    virtual void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed,
+        const std::optional<balance::ServerReport>& load)
+        = 0;
     //! Reports what the server of a placed job announced about itself. Returns whether it was not known.
     virtual bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) = 0;
 };
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -1,6 +1,7 @@
 #include "CallerRequest.h"
 
 #include "RequestLog.h"
+#include "ServerLoadDecoder.h"
 #include "ServerNoticeDecoder.h"
 #include "edge/TrafficSplit.h"
 
@@ -218,6 +219,7 @@
     this->server = target.server;
     this->decidedBy = deciderOf(target.term);
     this->attemptStart = this->context.reactor.now();
+    this->serverLoad.reset();
     auto address = net::SocketAddress::parse(target.address);
     if (!succeeded(address)) {
         this->endAttempt(balance::JobResult::ConnectFailed);
@@ -332,6 +334,11 @@
 // Also for the late response to an earlier request, since it comes from the same server.
 void CallerRequest::reportNotice(const http::MessageHead& response)
 {
+    auto load = decodeServerLoad(response, this->context.names);
+    if (!load.invalidValue.empty())
+        recordInvalidLoad(this->context, this->server, load.invalidValue);
+    if (load.report)
+        this->serverLoad = load.report;
     auto decoded = decodeServerNotice(response, this->context.names);
     if (!decoded.invalidRetryAfter.empty())
         this->logOutcome("retry-after-ignored", response.status,
@@ -412,7 +419,7 @@
     auto ended = this->job;
     this->job = 0;
     this->placed = false;
-    this->context.placer.reportEnd(ended, result, elapsed);
+    this->context.placer.reportEnd(ended, result, elapsed, this->serverLoad);
 }
 
 bool CallerRequest::mayRetry() const
--- a/libs/edge/src/CallerRequest.h
+++ b/libs/edge/src/CallerRequest.h
@@ -103,6 +103,7 @@
     bool sent = false;
     bool attemptActive = false; //!< counted in EdgeContext::activeAttempts
     TimePoint attemptStart {};
+    std::optional<balance::ServerReport> serverLoad; //!< stated by the server of the current attempt
     std::uint64_t bodySent = 0;
     bool bodyFinished = false;
     bool forwarding = false; //!< part of the response has been forwarded
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -23,7 +23,7 @@
     , split(std::make_unique<TrafficSplit>())
     , requestLog(std::make_unique<RequestLog>(events, owner.timeSource()))
     , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0,
-        *this->requestLog, this->requestMetrics, 0, {}, {} }
+        *this->requestLog, this->requestMetrics, 0, {}, {}, {} }
 {
 }
 
--- a/libs/edge/tests/EdgeFixture.cpp
+++ b/libs/edge/tests/EdgeFixture.cpp
@@ -1,5 +1,6 @@
 #include "EdgeFixture.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace sequoia::edge::test {
@@ -19,6 +20,7 @@
     names.notExecuted = "Test-Not-Executed";
     names.key = "Test-Key";
     names.leaving = "Test-Leaving";
+    names.load = "Test-Load";
     return names;
 }
 
@@ -81,10 +83,11 @@
     this->changed.notify_all();
 }
 
-void ScriptedPlacer::reportEnd(std::uint64_t job, balance::JobResult result, Duration)
+void ScriptedPlacer::reportEnd(
+    std::uint64_t job, balance::JobResult result, Duration, const std::optional<balance::ServerReport>& load)
 {
     std::lock_guard lock(this->mutex);
-    this->ends.push_back({ this->placed[job], result });
+    this->ends.push_back({ this->placed[job], result, load });
     this->changed.notify_all();
 }
 
@@ -164,6 +167,13 @@
     return connection.readMessage();
 }
 
+std::size_t EdgeFixture::eventCount(const std::string& kind) const
+{
+    auto recorded = this->events.eventsAfter(0).first;
+    return static_cast<std::size_t>(
+        std::count_if(recorded.begin(), recorded.end(), [&](const auto& event) { return event.kind() == kind; }));
+}
+
 void EdgeFixture::run(const std::function<void(EdgeServer&)>& message)
 {
     this->task.run([&] { message(*this->edge); });
--- a/libs/edge/tests/EdgeFixture.h
+++ b/libs/edge/tests/EdgeFixture.h
@@ -17,6 +17,7 @@
     struct End {
         std::string server;
         balance::JobResult result;
+        std::optional<balance::ServerReport> load;
     };
 
     struct Notice {
@@ -28,7 +29,8 @@
 
     void submit(const balance::Job& job, PlacementObserver& observer) override;
     void withdraw(std::uint64_t job) override;
-    void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed) override;
+    void reportEnd(std::uint64_t job, balance::JobResult result, Duration elapsed,
+        const std::optional<balance::ServerReport>& load) override;
     bool reportNotice(std::uint64_t job, const balance::ServerNotice& notice) override;
 
     //! Waits until `count` jobs have ended.
@@ -63,6 +65,8 @@
     //! Sets the configuration.
     void configure();
     void run(const std::function<void(EdgeServer&)>& message);
+    //! Number of events of this kind so far.
+    std::size_t eventCount(const std::string& kind) const;
 
     ScriptedPlacer placer;
 
