--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -32,7 +32,7 @@
     , requestLog(std::make_unique<RequestLog>(events, owner.timeSource()))
     , limitLog(events, owner.timeSource())
     , context { owner, events, this->names, placer, this->backends, this->totals, *this->split, nullptr, false, 0,
-        *this->requestLog, this->requestMetrics, 0, {}, {}, this->limitLog, this->memory }
+        *this->requestLog, this->requestMetrics, 0, {}, {}, {}, this->limitLog, this->memory }
 {
     this->sweep();
 }
