--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -19,8 +19,8 @@
     explicit ServerLoad(fleet::ServerEntry entry, TimePoint now);
 
     void update(const fleet::ServerEntry& entry, TimePoint now);
-    //! Bounds the slowness that overdue jobs alone show, relative to the measured one. After a takeover jobs are overdue
-    //! because they wait at the server behind jobs of hosts that placed them on their own.
+    //! Bounds the slowness that overdue jobs alone show, relative to the measured one. After a takeover jobs are
+    //! overdue because they wait at the server behind jobs of hosts that placed them on their own.
     void setOverdueLimit(double limit) { this->overdueLimit = limit; }
     //! Sets the limits for the time while the server is cold; see ColdRateLimiter for `knownSince`.
     void setColdLimits(const ColdLimits& limits, TimePoint knownSince, TimePoint now);
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -34,8 +34,8 @@
 constexpr double maxRetryAfterFraction = 1.0 / 3;
 // Waiting jobs are checked against their deadlines this often.
 constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(50);
-// Slowness that overdue jobs alone can show, relative to the measured one, where callers compete for the servers: a wrong
-// estimate there refuses jobs that would be served in time.
+// Slowness that overdue jobs alone can show, relative to the measured one, where callers compete for the servers: a
+// wrong estimate there refuses jobs that would be served in time.
 constexpr double overdueLimitInOverload = 2;
 // A placed job whose end is not reported is dropped this long after its deadline.
 constexpr Duration missingReportTimeout = std::chrono::milliseconds(500);
