--- a/libs/balance/include/balance/QueuePlan.h
+++ b/libs/balance/include/balance/QueuePlan.h
@@ -12,6 +12,7 @@
     double slots = 0; //!< jobs that run at once
     double slowness = 1; //!< duration of work relative to that on a server of average speed
     double inFlight = 0; //!< jobs that run, or wait at the server
+    Duration unusableFor {}; //!< time until the servers may get jobs again
     //! Share of the capacity that arriving jobs need which can meet their targets.
     double onTimeLoad = 0;
     unsigned urgentStarts = 0; //!< consecutive jobs that were started before less urgent ones
--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -92,6 +92,7 @@
 
     Pool& poolOf(const std::string& service);
     void applyColdLimits(ServerLoad& load, TimePoint now) const;
+    void applyOverdueLimit(ServerLoad& load) const;
     std::string queueNameOf(const Job& job) const;
     void requeueAfterOwnerChange(Pool& pool, TimePoint now);
     //! Whether the server still owns the key of a job in its queue.
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -14,6 +14,8 @@
 //! are misleading and take slots.
 class ServerLoad {
 public:
+    static constexpr double noOverdueLimit = 1e9;
+
     explicit ServerLoad(fleet::ServerEntry entry, TimePoint now);
 
     void update(const fleet::ServerEntry& entry, TimePoint now);
@@ -58,8 +60,6 @@
     bool usedRecently(std::uint64_t host, TimePoint now) const;
 
 private:
-    static constexpr double maxOverdueLimit = 1e9;
-
     void suspend(Duration time, TimePoint now);
     void assumeCold(TimePoint now);
     void updateColdUntil(TimePoint now);
@@ -77,7 +77,7 @@
 
     std::map<JobId, PlacedJob> jobs;
     unsigned otherHostsInFlight = 0;
-    double overdueLimit = maxOverdueLimit;
+    double overdueLimit = noOverdueLimit;
     double relativeServiceTime = 1;
     double averageFailures = 0;
     unsigned consecutiveFailures = 0;
--- a/libs/balance/src/QueuePlan.cpp
+++ b/libs/balance/src/QueuePlan.cpp
@@ -60,9 +60,10 @@
     Duration wait(double share) const
     {
         if (this->count < this->capacity.slots)
-            return {};
+            return this->capacity.unusableFor;
         double slots = std::max(this->capacity.slots, minSlots) * share;
-        return Duration(static_cast<std::int64_t>(this->capacity.slowness * this->micros / slots));
+        return std::max(this->capacity.unusableFor,
+            Duration(static_cast<std::int64_t>(this->capacity.slowness * this->micros / slots)));
     }
     Duration onServer(Duration time) const
     {
--- a/libs/balance/src/QueuePlanning.cpp
+++ b/libs/balance/src/QueuePlanning.cpp
@@ -15,6 +15,9 @@
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 // Part of the capacity that is kept for callers that were told to come back, even in overload.
 constexpr double minReturnShare = 0.1;
+// Slowness that overdue jobs alone can show, relative to the measured one, where callers compete for the servers: a
+// wrong estimate there refuses jobs that would be served in time.
+constexpr double overdueLimitInOverload = 2;
 
 }
 
@@ -23,6 +26,14 @@
     this->costAwareServices = services;
     for (auto& [service, pool] : this->pools)
         pool->costAware = services.contains(service);
+    for (auto& [id, load] : this->loads)
+        this->applyOverdueLimit(load);
+}
+
+void Scheduler::applyOverdueLimit(ServerLoad& load) const
+{
+    bool costAware = this->costAwareServices.contains(load.entry().service);
+    load.setOverdueLimit(costAware ? overdueLimitInOverload : ServerLoad::noOverdueLimit);
 }
 
 bool Scheduler::isPlanned(const Pool& pool, const std::string& name) const
@@ -48,7 +59,10 @@
         if (load == this->loads.end())
             return result;
         result.slowness = load->second.slowness(meanWork, now);
-        result.slots = load->second.isUsable(now) ? load->second.entry().slots : 0;
+        // A suspension is shorter than most jobs, and the slots keep working during it.
+        bool ready = load->second.entry().state == fleet::ServerState::Ready;
+        result.slots = ready ? load->second.entry().slots : 0;
+        result.unusableFor = std::max(Duration::zero(), load->second.usableAt() - now);
         double secondsOfJob = std::chrono::duration<double>(meanWork).count() * result.slowness;
         if (load->second.isCold(now))
             result.slots = std::min(result.slots, load->second.coldRate(now) * secondsOfJob);
@@ -130,6 +144,8 @@
             auto pause = this->earliestUse(pool, name, *job, now) - now;
             if (now + pause + pool.work.mean(job->workClass) > job->deadline)
                 evict(*job, pause);
+            else if (job->tried.empty() && !this->isHeldByPause(pool, name, *job, now))
+                break;
         } else if (job->tried.empty())
             break;
         isFirst = false;
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -34,9 +34,6 @@
 constexpr double maxRetryAfterFraction = 1.0 / 3;
 // Waiting jobs are checked against their deadlines this often.
 constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(50);
-// Slowness that overdue jobs alone can show, relative to the measured one, where callers compete for the servers: a wrong
-// estimate there refuses jobs that would be served in time.
-constexpr double overdueLimitInOverload = 2;
 // A scheduler that has known the servers for this time knows all requests that count against the limits of cold ones.
 constexpr Duration historyPeriod = std::chrono::milliseconds(1500);
 // A placed job whose end is not reported is dropped this long after its deadline.
@@ -87,8 +84,7 @@
     for (const auto& [id, entry] : servers) {
         auto [found, added] = this->loads.try_emplace(id, entry, now);
         this->applyColdLimits(found->second, now);
-        if (this->costAwareServices.contains(entry.service))
-            found->second.setOverdueLimit(overdueLimitInOverload);
+        this->applyOverdueLimit(found->second);
         if (added)
             continue;
         if (found->second.entry().instance != entry.instance)
