Counters and a log line of cost-aware queueing; split Scheduler.cpp

Change: the metrics page of the coordinator's host shows jobs refused on arrival, evicted and placed late by service, and moves of keys for load; event=queueing logs each change of the set of planned services.

The metrics page itself was not run.

--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -27,6 +27,13 @@
     double retryShare = 1; //!< part of the slack that this scheduler may use
 };
 
+//! What became of the jobs of a service since the scheduler was created.
+struct QueueCounters {
+    std::uint64_t refused = 0; //!< for overload
+    std::uint64_t refusedOnArrival = 0; //!< of these, those that had not waited
+    std::uint64_t placedLate = 0; //!< placed, although expected to end after their targets
+};
+
 //! Decides for each job where it runs, how long it waits, and when it is refused. Does no I/O and reads no clock.
 //!
 //! Jobs are queued here, not at the backend servers: a server gets about as many jobs as it has slots. So the most
@@ -78,6 +85,7 @@
     //! Measured average service time of the jobs of the service.
     Duration averageServiceTime(const std::string& service) const;
     const std::map<std::string, ServerLoad>& servers() const { return this->loads; }
+    std::map<std::string, QueueCounters> queueCounters() const;
     std::uint64_t jobsWaitingOrPlaced() const { return this->placements.size() + this->waitingJobs(); }
 
 private:
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -21,8 +21,8 @@
     void update(const fleet::ServerEntry& entry, TimePoint now);
     //! Sets the limits for the time while the server is cold; see ColdRateLimiter for `ownsHistory`.
     void setColdLimits(const ColdLimits& limits, bool ownsHistory, TimePoint now);
-    //! Bounds the slowness that overdue jobs alone show, relative to the measured one. After a takeover jobs are overdue
-    //! because they wait at the server behind jobs of hosts that placed them on their own.
+    //! Bounds the slowness that overdue jobs alone show, relative to the measured one. After a takeover jobs are
+    //! overdue because they wait at the server behind jobs of hosts that placed them on their own.
     void setOverdueLimit(double limit) { this->overdueLimit = limit; }
     //! Whether the server is cold, or may be, so that its requests are limited.
     bool isCold(TimePoint now) const { return this->coldLimiter && now < this->coldUntil; }
--- a/libs/balance/src/QueuePlanning.cpp
+++ b/libs/balance/src/QueuePlanning.cpp
@@ -129,6 +129,7 @@
         queue.erase(Pool::rankOf(job));
     };
     auto evict = [&](const Job& job, Duration wait) {
+        ++pool.counters.refused;
         decisions.emplace_back(this->refusalWithReturn(pool, name, job, wait, capacity, now));
         remove(job);
     };
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -27,13 +27,6 @@
 constexpr double maxSpread = 0.3;
 // Servers whose cost, which is mainly their slowness, exceeds this get only jobs that they can finish by the target.
 constexpr double slowServerFactor = 3;
-// A job that would have less time than this many average service times is not worth starting.
-constexpr double minRemainingServiceTimes = 1.0;
-// Bounds of Retry-After: callers wait at most a third of the time left until their deadline.
-constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
-constexpr double maxRetryAfterFraction = 1.0 / 3;
-// Waiting jobs are checked against their deadlines this often.
-constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(50);
 // A scheduler that has known the servers for this time knows all requests that count against the limits of cold ones.
 constexpr Duration historyPeriod = std::chrono::milliseconds(1500);
 // A placed job whose end is not reported is dropped this long after its deadline.
@@ -43,6 +36,14 @@
 constexpr std::size_t jobsRequeuedAtOnce = 100;
 constexpr Duration requeueInterval = std::chrono::milliseconds(20);
 
+bool isRefused(JobId job, const std::vector<SchedulingDecision>& decisions)
+{
+    return std::any_of(decisions.begin(), decisions.end(), [&](const SchedulingDecision& decision) {
+        const auto* refusal = std::get_if<JobRefusal>(&decision);
+        return refusal && refusal->job == job;
+    });
+}
+
 }
 
 Scheduler::Scheduler(SchedulerOptions schedulerOptions, const OwnerLookup& lookup)
@@ -167,29 +168,6 @@
     return pool.ownerVersion == this->owners.ownerVersion() || this->queueNameOf(job) == server;
 }
 
-std::optional<JobRefusal> Scheduler::admissionRefusal(Pool& pool, const Job& job, TimePoint now)
-{
-    auto timeLeft = std::max(Duration::zero(), job.deadline - now);
-    auto maxRetryAfter
-        = Duration(static_cast<std::int64_t>(static_cast<double>(timeLeft.count()) * maxRetryAfterFraction));
-    if (this->quarantine.isQuarantined(job.fingerprint))
-        return JobRefusal { job.id, RefusalReason::Quarantined, maxRetryAfter };
-    if (job.attempt == 0)
-        pool.budget.recordRequest(now);
-    else if (!pool.budget.tryAcquire(now, this->options.retryShare))
-        return JobRefusal { job.id, RefusalReason::RetryBudget, maxRetryAfter };
-    if (job.key) {
-        if (this->owners.ownerOf(job.service, *job.key).ownership == Ownership::Unowned)
-            return JobRefusal { job.id, RefusalReason::NoOwner, maxRetryAfter };
-        return std::nullopt;
-    }
-    bool anyReady = std::any_of(pool.members.begin(), pool.members.end(),
-        [](const ServerLoad* load) { return load->entry().state == fleet::ServerState::Ready; });
-    if (!anyReady)
-        return JobRefusal { job.id, RefusalReason::NoServer, maxRetryAfter };
-    return std::nullopt;
-}
-
 std::vector<SchedulingDecision> Scheduler::submit(const Job& job, TimePoint now)
 {
     std::vector<SchedulingDecision> decisions;
@@ -208,6 +186,7 @@
     if (this->isPlanned(pool, name)) {
         this->recordArrival(pool, name, job, now);
         this->applyPlan(pool, name, now, decisions);
+        pool.counters.refusedOnArrival += isRefused(job.id, decisions) ? 1 : 0;
         return decisions;
     }
     this->dispatchQueue(pool, name, now, decisions);
@@ -218,6 +197,8 @@
         if (auto refusal = this->waitRefusal(pool, name, job, ahead, now)) {
             queue.erase(position);
             this->waiting.erase(job.id);
+            ++pool.counters.refused;
+            ++pool.counters.refusedOnArrival;
             decisions.emplace_back(*refusal);
         }
     }
@@ -296,6 +277,7 @@
                     ++entry;
                     continue;
                 }
+                ++pool->counters.refused;
                 decisions.emplace_back(*refusal);
                 this->waiting.erase(entry->first.id);
                 entry = queue.erase(entry);
@@ -443,84 +425,11 @@
     return best ? std::optional(best->entry().instance.id) : std::nullopt;
 }
 
-bool Scheduler::isHeldByPause(const Pool& pool, const std::string& name, const Job& job, TimePoint now) const
-{
-    if (now >= this->lastPauseEnd)
-        return false;
-    return std::any_of(pool.members.begin(), pool.members.end(), [&](const ServerLoad* load) {
-        return (!pool.keyed || load->entry().instance.id == name) && now < load->pausedUntil(job.id.host);
-    });
-}
-
-TimePoint Scheduler::earliestUse(const Pool& pool, const std::string& name, const Job& job, TimePoint now) const
-{
-    if (now >= this->lastPauseEnd)
-        return now;
-    if (pool.keyed) {
-        auto load = this->loads.find(name);
-        return load == this->loads.end() ? now : std::max(now, load->second.pausedUntil(job.id.host));
-    }
-    std::optional<TimePoint> earliest;
-    for (const auto* load : pool.members) {
-        if (load->entry().state != fleet::ServerState::Ready)
-            continue;
-        auto usable = std::max(now, load->pausedUntil(job.id.host));
-        earliest = earliest ? std::min(*earliest, usable) : usable;
-    }
-    return earliest.value_or(now);
-}
-
-double Scheduler::capacity(Pool& pool, const std::string& name, TimePoint now) const
-{
-    auto jobsPerAverageTime = [&](const ServerLoad& load) {
-        return load.isUsable(now) ? load.entry().slots / load.slowness(pool.averageServiceTime(), now) : 0;
-    };
-    if (pool.keyed) {
-        auto load = this->loads.find(name);
-        return load == this->loads.end() ? 0 : jobsPerAverageTime(load->second);
-    }
-    if (now - pool.effectiveSlotsTime < deadlineCheckInterval)
-        return pool.effectiveSlots;
-    pool.effectiveSlotsTime = now;
-    pool.effectiveSlots = 0;
-    for (const auto* load : pool.members)
-        pool.effectiveSlots += jobsPerAverageTime(*load);
-    return pool.effectiveSlots;
-}
-
-std::optional<JobRefusal> Scheduler::waitRefusal(
-    Pool& pool, const std::string& name, const Job& job, std::size_t ahead, TimePoint now) const
-{
-    double averageMicros = pool.averageServiceMicros;
-    double slots = this->capacity(pool, name, now);
-    double serviceMicros = averageMicros;
-    if (pool.keyed && !name.empty()) {
-        auto load = this->loads.find(name);
-        if (load != this->loads.end())
-            serviceMicros *= load->second.slowness(pool.averageServiceTime(), now);
-    }
-    double waitMicros = 0;
-    if (pool.keyed && name.empty())
-        waitMicros = 0; // the key is moving, for an unknown time
-    else if (slots <= 0)
-        waitMicros = averageMicros;
-    else
-        waitMicros = averageMicros * static_cast<double>(ahead + 1) / slots;
-    auto pause = this->earliestUse(pool, name, job, now) - now;
-    waitMicros = std::max(waitMicros, static_cast<double>(pause.count()));
-    auto finish = now + Duration(static_cast<std::int64_t>(waitMicros + serviceMicros * minRemainingServiceTimes));
-    if (finish <= job.deadline)
-        return std::nullopt;
-    double maxRetryAfterMicros
-        = static_cast<double>(std::max(Duration::zero(), job.deadline - now).count()) * maxRetryAfterFraction;
-    double retryAfterMicros = std::clamp(waitMicros, static_cast<double>(minRetryAfter.count()),
-        std::max(maxRetryAfterMicros, static_cast<double>(minRetryAfter.count())));
-    return JobRefusal { job.id, RefusalReason::Overloaded, Duration(static_cast<std::int64_t>(retryAfterMicros)) };
-}
-
 void Scheduler::place(
     Pool& pool, const Job& job, const std::string& server, TimePoint now, std::vector<SchedulingDecision>& decisions)
 {
+    auto expected = pool.costAware ? pool.work.mean(job.workClass) : pool.averageServiceTime();
+    pool.counters.placedLate += now + expected > job.target ? 1 : 0;
     this->loads.at(server).jobPlaced(job.id, now);
     this->placements[job.id]
         = { server, pool.service, job.fingerprint, job.deadline + missingReportTimeout, job.workClass };
@@ -550,4 +459,12 @@
     return found == this->pools.end() ? initialServiceTime : found->second->averageServiceTime();
 }
 
+std::map<std::string, QueueCounters> Scheduler::queueCounters() const
+{
+    std::map<std::string, QueueCounters> result;
+    for (const auto& [service, pool] : this->pools)
+        result[service] = pool->counters;
+    return result;
+}
+
 }
--- a/libs/balance/src/SchedulerPool.h
+++ b/libs/balance/src/SchedulerPool.h
@@ -10,6 +10,8 @@
 
 // Assumed average until the first answers of a service arrive.
 inline constexpr Duration initialServiceTime = std::chrono::milliseconds(150);
+// Waiting jobs are checked against their deadlines this often.
+inline constexpr Duration deadlineCheckInterval = std::chrono::milliseconds(50);
 // Name of the queue of jobs whose key is moving, and of all jobs of unkeyed services.
 inline const std::string queueWithoutOwner;
 
@@ -70,6 +72,7 @@
     //! Callers of different priority compete for the servers, so that planQueue() decides who is served.
     bool costAware = false;
     WorkEstimates work;
+    QueueCounters counters;
     std::map<std::string, QueueState> states; //!< by queue
 
     Pool(std::string name, const SchedulerOptions& options)
--- a/libs/balance/tests/QueuePlanTest.cpp
+++ b/libs/balance/tests/QueuePlanTest.cpp
@@ -188,6 +188,12 @@
     CHECK(refusal->job.number == 3);
     CHECK(refusal->reason == RefusalReason::Overloaded);
     CHECK(server.scheduler.isWaiting({ 1, 4 }));
+    CHECK(std::holds_alternative<JobRefusal>(server.submit(0, milliseconds(600), milliseconds(200)).at(0)));
+    // Operators tell refusals on arrival from those after a wait by these counts.
+    auto counters = server.scheduler.queueCounters().at("service");
+    CHECK(counters.refused == 2);
+    CHECK(counters.refusedOnArrival == 1);
+    CHECK(counters.placedLate == 0);
 }
 
 // Load pattern: full servers reject. A suspension of 30 ms was taken for the loss of all slots but one, which refused
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -78,6 +78,7 @@
     std::uint64_t term() const { return this->currentTerm; }
     std::size_t hostCount() const { return this->hosts.size(); }
     std::size_t waitingJobs() const { return this->scheduler.waitingJobs(); }
+    std::map<std::string, balance::QueueCounters> queueCounters() const { return this->scheduler.queueCounters(); }
     //! Largest processor share among the stable hosts.
     double maxProcessorShare() const;
     //! Largest processor share among the stable hosts that reached the store recently.
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -87,10 +87,26 @@
     this->configurationText = text;
     this->receivedState.assignConfiguration(text);
     if (this->coordinator)
-        this->coordinator->setConfiguration(current, text);
+        this->configureCoordinator();
     this->applyColdLimits();
 }
 
+void CoordinationTask::configureCoordinator()
+{
+    this->coordinator->setConfiguration(this->configuration, this->configurationText);
+    std::string services;
+    if (this->configuration) {
+        for (const auto& service : this->configuration->servicesWithCompetingPriorities())
+            services += (services.empty() ? "" : ",") + service;
+    }
+    if (services == this->plannedServices)
+        return;
+    this->plannedServices = services;
+    this->events.record(timeline::Severity::Info, "queueing",
+        { { "cost_aware", services }, { "reason", "routes of different priority" },
+            { "term", std::to_string(this->coordinator->term()) } });
+}
+
 void CoordinationTask::applyColdLimits()
 {
     if (!this->configuration)
@@ -395,7 +411,8 @@
     this->coordinatorTerm = std::max(this->coordinatorTerm, term);
     this->coordinator = std::make_unique<coordination::Coordinator>(
         this->reactor.timeSource(), term, this->schedulerOptions, this->keyLeaseOptions);
-    this->coordinator->setConfiguration(this->configuration, this->configurationText);
+    this->plannedServices.clear();
+    this->configureCoordinator();
     this->coordinator->setLinkSpeed(this->linkMegabits);
     if (this->evacuations.state().version != 0)
         this->coordinator->setEvacuations(this->evacuations.state());
@@ -498,11 +515,13 @@
         this->execute(this->election.tick(now));
     if (!this->coordinator)
         return;
-    for (const auto& event : this->coordinator->takeOwnershipEvents())
+    for (const auto& event : this->coordinator->takeOwnershipEvents()) {
+        this->loadMoves += event.kind == "keys_move" && event.reason == "load" ? 1 : 0;
         this->events.record(timeline::Severity::Info, event.kind,
             { { "first", std::to_string(event.keys.first) }, { "last", std::to_string(event.keys.last) },
                 { "from", event.from }, { "to", event.to }, { "fence", std::to_string(event.fence) },
                 { "reason", event.reason }, { "term", std::to_string(this->coordinator->term()) } });
+    }
     for (const auto& order : this->coordinator->takeLeaseOrders())
         this->sendLeaseOrder(order);
 }
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -58,6 +58,8 @@
     bool usesCoordinator() const { return this->placement->usesCoordinator(); }
     bool isCoordinator() const { return this->coordinator != nullptr; }
     const coordination::Coordinator* coordinatorOrNull() const { return this->coordinator.get(); }
+    //! Moves of keys that this host, as coordinator, has decided for load.
+    std::uint64_t keyMovesForLoad() const { return this->loadMoves; }
 
 private:
     CoordinationTask(net::Reactor& reactor, const settings::Settings& settings, timeline::EventLog& events,
@@ -70,6 +72,7 @@
     void scheduleFlush();
     void flush();
     void applyColdLimits();
+    void configureCoordinator();
     void sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages);
     void scheduleTick();
     void tick();
@@ -107,6 +110,8 @@
     platform_adapter::LeaseOrderSender leaseOrderSender;
     std::shared_ptr<const fleet::Configuration> configuration;
     std::string configurationText;
+    std::string plannedServices; //!< last written to the log by this tenure
+    std::uint64_t loadMoves = 0;
     fleet::ServerMap servers;
     fleet::Evacuations evacuations;
     VersionCallback onVersionAnnounced;
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -18,6 +18,24 @@
 constexpr Duration responseMargin = std::chrono::milliseconds(600);
 constexpr Duration stopCheckInterval = std::chrono::milliseconds(100);
 
+// Counts of this host's tenure as coordinator, by service.
+std::string queueMetrics(const std::map<std::string, balance::QueueCounters>& counters)
+{
+    std::string text;
+    auto add = [&](const std::string& name, const char* help, auto valueOf) {
+        text += "# HELP " + name + " " + help + "\n# TYPE " + name + " counter\n";
+        for (const auto& [service, values] : counters)
+            text += name + "{service=\"" + service + "\"} " + std::to_string(valueOf(values)) + "\n";
+    };
+    add("sequoia_jobs_refused_on_arrival_total", "Requests refused for overload when they arrived.",
+        [](const auto& values) { return values.refusedOnArrival; });
+    add("sequoia_jobs_evicted_total", "Requests refused for overload while they waited.",
+        [](const auto& values) { return values.refused - values.refusedOnArrival; });
+    add("sequoia_jobs_placed_late_total", "Requests placed although their answers are expected after the target.",
+        [](const auto& values) { return values.placedLate; });
+    return text;
+}
+
 }
 
 Result<std::unique_ptr<runtime::Program>> NodeService::create(const runtime::ProgramContext& context)
@@ -182,6 +200,11 @@
         coordinator ? count(coordinator->hostCount()) : 0);
     add("sequoia_coordinator_waiting_jobs", "gauge", "Requests of all hosts that wait here.",
         coordinator ? count(coordinator->waitingJobs()) : 0);
+    add("sequoia_key_moves_for_load_total", "counter",
+        "Moves of keys that this host, as coordinator, decided for load.",
+        count(this->coordination->keyMovesForLoad()));
+    if (coordinator)
+        text += queueMetrics(coordinator->queueCounters());
     return { 200, text };
 }
 
