--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -27,6 +27,13 @@
     double retryShare = 1; //!< part of the slack that this scheduler may use
 };
 
+//! What became of the jobs of a service since the scheduler was created.
+struct QueueCounters {
+    std::uint64_t refused = 0; //!< for overload
+    std::uint64_t refusedOnArrival = 0; //!< of these, those that had not waited
+    std::uint64_t placedLate = 0; //!< placed, although expected to end after their targets
+};
+
 //! Decides for each job where it runs, how long it waits, and when it is refused. Does no I/O and reads no clock.
 //!
 //! Jobs are queued here, not at the backend servers: a server gets about as many jobs as it has slots. So the most
@@ -83,6 +90,7 @@
     const std::map<std::string, ServerLoad>& servers() const { return this->loads; }
     //! Jobs that have had to wait because their server was cold and had reached its limit.
     std::uint64_t jobsHeldByColdLimit() const { return this->heldByColdLimit; }
+    std::map<std::string, QueueCounters> queueCounters() const;
     std::uint64_t jobsWaitingOrPlaced() const { return this->placements.size() + this->waitingJobs(); }
 
 private:
@@ -100,6 +108,7 @@
     //! Time since which all requests to a server that is new in the list are known here.
     TimePoint requestsKnownSince(const std::string& server) const;
     bool isHeldByColdLimit(const Pool& pool, const std::string& queue, TimePoint now) const;
+    void applyOverdueLimit(ServerLoad& load) const;
     std::string queueNameOf(const Job& job) const;
     void requeueAfterOwnerChange(Pool& pool, TimePoint now);
     //! Whether the server still owns the key of a job in its queue.
--- a/libs/balance/include/balance/ServerLoad.h
+++ b/libs/balance/include/balance/ServerLoad.h
@@ -16,6 +16,8 @@
 //! are misleading and take slots.
 class ServerLoad {
 public:
+    static constexpr double noOverdueLimit = 1e9;
+
     explicit ServerLoad(fleet::ServerEntry entry, TimePoint now);
 
     void update(const fleet::ServerEntry& entry, TimePoint now);
@@ -70,8 +72,6 @@
     bool usedRecently(std::uint64_t host, TimePoint now) const;
 
 private:
-    static constexpr double maxOverdueLimit = 1e9;
-
     void suspend(Duration time, TimePoint now);
     void assumeCold(Duration time, TimePoint now);
     void assumeColdAfterLoss(TimePoint now);
@@ -93,7 +93,7 @@
 
     std::map<JobId, PlacedJob> jobs;
     unsigned otherHostsInFlight = 0;
-    double overdueLimit = maxOverdueLimit;
+    double overdueLimit = noOverdueLimit;
     double relativeServiceTime = 1;
     double averageFailures = 0;
     unsigned consecutiveFailures = 0;
--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -83,6 +83,7 @@
     std::uint64_t jobsHeldByColdLimit() const { return this->scheduler.jobsHeldByColdLimit(); }
     //! Data centre of the host with this address; empty when it is not known.
     std::string dataCentreOf(const std::string& address) const;
+    std::map<std::string, balance::QueueCounters> queueCounters() const { return this->scheduler.queueCounters(); }
     //! Largest processor share among the stable hosts.
     double maxProcessorShare() const;
     //! Largest processor share among the stable hosts that reached the store recently.
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -66,6 +66,8 @@
     bool usesCoordinator() const { return this->placement->usesCoordinator(); }
     bool isCoordinator() const { return this->coordinator != nullptr; }
     const coordination::Coordinator* coordinatorOrNull() const { return this->coordinator.get(); }
+    //! Moves of keys that this host, as coordinator, has decided for load.
+    std::uint64_t keyMovesForLoad() const { return this->loadMoves; }
 
 private:
     CoordinationTask(net::Reactor& reactor, const settings::Settings& settings, timeline::EventLog& events,
@@ -80,6 +82,7 @@
     void applyColdLimits();
     void logColdServers();
     void sendToCoordinator(wire::Datagram& datagram);
+    void configureCoordinator();
     void sendDatagrams(const std::vector<coordination::OutgoingDatagram>& messages);
     void scheduleTick();
     void tick();
@@ -120,6 +123,8 @@
     platform_adapter::LeaseOrderSender leaseOrderSender;
     std::shared_ptr<const fleet::Configuration> configuration;
     std::string configurationText;
+    std::string plannedServices; //!< last written to the log by this tenure
+    std::uint64_t loadMoves = 0;
     fleet::ServerMap servers;
     TimePoint serverListReadAt {}; //!< by this host itself
     fleet::Evacuations evacuations;
