--- a/libs/balance/src/QueuePlanning.cpp
+++ b/libs/balance/src/QueuePlanning.cpp
@@ -159,4 +159,12 @@
     }
 }
 
+std::map<std::string, QueueCounters> Scheduler::queueCounters() const
+{
+    std::map<std::string, QueueCounters> result;
+    for (const auto& [service, pool] : this->pools)
+        result[service] = pool->counters;
+    return result;
+}
+
 }
--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -491,12 +491,4 @@
     return found == this->pools.end() ? initialServiceTime : found->second->averageServiceTime();
 }
 
-std::map<std::string, QueueCounters> Scheduler::queueCounters() const
-{
-    std::map<std::string, QueueCounters> result;
-    for (const auto& [service, pool] : this->pools)
-        result[service] = pool->counters;
-    return result;
-}
-
 }
