--- a/libs/edge/include/edge/MemoryAccount.h
+++ b/libs/edge/include/edge/MemoryAccount.h
@@ -13,7 +13,7 @@
 
 //! What memory of a connection is used for.
 enum class MemoryUse {
-    Head, //!< received bytes that are not parsed yet
+    Head, //!< received bytes that are not parsed yet, and parsed heads
     RequestBody,
     Response, //!< bytes of a backend server's response that are not forwarded yet
     Unsent, //!< bytes written towards the caller or the backend server that the kernel has not taken
@@ -36,6 +36,7 @@
     None,
     HoldBack, //!< above the first mark: connections that grow are not read from
     RefuseBodies, //!< above the second mark: requests with a new body are refused
+    RefuseRequests, //!< above the ceiling: all new requests are refused
 };
 
 //! Account of the memory held for callers, by connection. Addresses many bodies and heads at once that stop before
--- a/libs/edge/src/CallerCeilings.cpp
+++ b/libs/edge/src/CallerCeilings.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // The rest of the memory is for the program, the state of the fleet, and what the allocator does not give back.
-constexpr double memoryShare = 0.25;
+constexpr double memoryShare = 0.5;
 // A request that is running needs a second descriptor for its server.
 constexpr double descriptorShare = 0.5;
 constexpr double bytesPerMegabyte = 1e6;
--- a/libs/edge/src/CallerConnection.cpp
+++ b/libs/edge/src/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "CallerConnection.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -115,6 +116,7 @@
         if (!this->parser->isHeadComplete())
             break;
         if (!hadHead) {
+            this->headBytes = std::min<std::size_t>(valueOf(parsed), this->limits().maxHeaderBytes);
             this->startRequest();
             if (!this->request)
                 break;
@@ -161,15 +163,15 @@
     const auto& head = this->parser->head();
     this->responseComplete = false;
     this->closeAfterResponse = !head.keepAlive;
-    bool refuseBody = this->refuseBodyForMemory(head);
+    bool refuse = this->refusesForMemory(head);
     this->stageSince = this->context.reactor.now();
     this->stageBytes = 0;
-    if (!refuseBody && this->continueExpected(head))
+    if (!refuse && this->continueExpected(head))
         this->stream.write("HTTP/1.1 100 Continue\r\n\r\n");
     ResponseSink& self = *this;
     this->request = std::make_unique<CallerRequest>(this->context, self, head);
     this->request->start();
-    if (refuseBody && !this->request->isFinished()) {
+    if (refuse && !this->request->isFinished()) {
         this->context.limitLog.count(CallerLimit::MemoryRefused);
         this->request->refuseUnsent(503, this->memoryRetryAfter(), "memory is short at this host");
     }
--- a/libs/edge/src/CallerConnection.h
+++ b/libs/edge/src/CallerConnection.h
@@ -68,7 +68,7 @@
     void accountMemory();
     void holdBackIfNeeded();
     bool isBodyArriving() const;
-    bool refuseBodyForMemory(const http::MessageHead& head) const;
+    bool refusesForMemory(const http::MessageHead& head) const;
     Duration memoryRetryAfter() const;
     fleet::CallerLimits limits() const;
     void rejectMalformed(const Error& error);
@@ -92,6 +92,7 @@
     bool closeAfterResponse = false;
     bool closing = false;
     bool parsing = false;
+    std::size_t headBytes = 0; //!< of the present request, about
     bool heldBack = false; //!< not read from, because memory is short
     TimePoint stageSince; //!< start of the head, or last time that enough of the body had arrived
     std::uint64_t stageBytes = 0; //!< of the body at that time
--- a/libs/edge/src/CallerConnectionLimits.cpp
+++ b/libs/edge/src/CallerConnectionLimits.cpp
@@ -21,6 +21,8 @@
 // Stalled connections are ended within about this time. Returns are spread over the same time again.
 constexpr Duration retryAfterMemory = std::chrono::milliseconds(1200);
 constexpr unsigned returnSteps = 16;
+// The parser and the request each keep the fields of a head; their sizes and pointers take about as much again.
+constexpr std::size_t headCopies = 3;
 
 }
 
@@ -43,7 +45,7 @@
         this->sentSince = now;
     this->lastSent = this->stream.sentBytes();
     HeldMemory held;
-    held.of(MemoryUse::Head) = this->stream.inputMemory();
+    held.of(MemoryUse::Head) = this->stream.inputMemory() + (this->request ? this->headBytes * headCopies : 0);
     held.of(MemoryUse::Unsent) = this->stream.outputMemory();
     held.progress = this->lastSent;
     if (this->request) {
@@ -99,10 +101,11 @@
         this->accountMemory();
 }
 
-bool CallerConnection::refuseBodyForMemory(const http::MessageHead& head) const
+bool CallerConnection::refusesForMemory(const http::MessageHead& head) const
 {
-    if (this->context.memory.pressure() != MemoryPressure::RefuseBodies)
-        return false;
+    auto pressure = this->context.memory.pressure();
+    if (pressure != MemoryPressure::RefuseBodies)
+        return pressure == MemoryPressure::RefuseRequests;
     return head.framing == http::BodyFraming::Chunked
         || (head.framing == http::BodyFraming::Length && head.length > smallBody);
 }
--- a/libs/edge/src/MemoryAccount.cpp
+++ b/libs/edge/src/MemoryAccount.cpp
@@ -72,7 +72,9 @@
 {
     if (this->ceilingBytes == 0 || this->totalBytes <= this->firstMark())
         return MemoryPressure::None;
-    return this->totalBytes <= this->secondMark() ? MemoryPressure::HoldBack : MemoryPressure::RefuseBodies;
+    if (this->totalBytes <= this->secondMark())
+        return MemoryPressure::HoldBack;
+    return this->totalBytes <= this->ceilingBytes ? MemoryPressure::RefuseBodies : MemoryPressure::RefuseRequests;
 }
 
 bool MemoryAccount::shouldHoldBack(Owner owner) const
