--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -253,7 +253,7 @@
             continue;
         this->scheduler.withdraw(entry.job.id);
         // A repeated end of the declined placement would end the next one.
-        std::erase_if(this->recentJobEnds, [&](const auto& end) { return end.second.job() == number; });
+        std::erase_if(this->recentJobEnds, [job = number](const auto& end) { return end.second.job() == job; });
         entry.atCoordinator = true;
         entry.acknowledged = false;
         entry.resendCount = 0;
