Test of settings with the sections of evacuations and cold servers

Cause: node_bounds failed since deploy/node.ini has sections that depend on a figure: the test filled them in as text. Change: the test leaves sections out or in as the platform does, with the three new figures in all forms and a reload of [cold_servers]. One call for the slowness in chooseServer.

--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -475,8 +475,9 @@
             continue;
         double utilization = static_cast<double>(load.inFlight()) / load.entry().slots;
         // Some servers are slower when most of their slots are taken.
-        double cost = load.slowness(pool.averageServiceTime(), now) * (1 + 0.2 * utilization)
-            / std::max(0.05, 1 - load.failureRate(now));
+        double slowness = load.slowness(pool.averageServiceTime(), now);
+        double steady = load.steadySlowness(pool.averageServiceTime(), now);
+        double cost = slowness * (1 + 0.2 * utilization) / std::max(0.05, 1 - load.failureRate(now));
         // Among about equal servers, prefers one with an open connection, then one in the same data centre.
         if (!load.usedRecently(job.id.host, now))
             cost *= newConnectionFactor;
@@ -485,10 +486,8 @@
         cost *= this->spreadFactor(id);
         // Waiting for another server is better than a slow one that would make the job late. One that is slow only for
         // the moment, as it states itself, still makes progress.
-        double expectedMicros = averageMicros * load.slowness(pool.averageServiceTime(), now);
-        double steady = load.steadySlowness(pool.averageServiceTime(), now);
-        double pace = load.slowness(pool.averageServiceTime(), now) / steady;
-        if (cost / pace > slowServerFactor
+        double expectedMicros = averageMicros * slowness;
+        if (cost * (steady / slowness) > slowServerFactor
             && now + Duration(static_cast<std::int64_t>(averageMicros * steady)) > job.target)
             continue;
         if (!best || cost < bestCost) {
--- a/tests/processes/node_bounds.sh
+++ b/tests/processes/node_bounds.sh
@@ -17,6 +17,7 @@
 declare -A usual=(
     [limits.cpu_share]=0.15 [limits.link_mbps]=750.0 [bounds.grace_s]=6 [bounds.hold_max_ms]=10000
     [bounds.retry_budget_ratio]=0.2 [bounds.retry_budget_slack]=60 [bounds.budget_window_s]=10
+    [bounds.evac_ms]=5000 [bounds.cold_over]=1.5 [bounds.cold_slack]=8
 )
 
 fail() {
@@ -24,7 +25,8 @@
     failures=$((failures + 1))
 }
 
-# fill [NAME=FIGURE]...: writes the settings from the template, with these figures in place of the usual ones.
+# fill [NAME=FIGURE]...: writes the settings from the template, with these figures in place of the usual ones. A section
+# {{#NAME}} to {{/NAME}} is left out if its figure is missing, 0 or false.
 fill() {
     local text name change
     declare -A values
@@ -32,7 +34,13 @@
     for name in "${!names[@]}"; do values[$name]=${names[$name]}; done
     for name in "${!usual[@]}"; do values[$name]=${usual[$name]}; done
     for change in "$@"; do values[${change%%=*}]=${change#*=}; done
-    for name in "${!values[@]}"; do text=${text//"{{$name}}"/${values[$name]}}; done
+    for name in "${!values[@]}"; do
+        case ${values[$name]} in
+        '' | 0 | false) text=$(sed "/{{#$name}}/,/{{\/$name}}/d" <<<"$text") ;;
+        *) text=$(sed "/{{[#/]$name}}/d" <<<"$text") ;;
+        esac
+        text=${text//"{{$name}}"/${values[$name]}}
+    done
     printf '%s\n' "$text" >"$settings.new"
     mv "$settings.new" "$settings"
 }
@@ -92,9 +100,9 @@
     expect 'event=reloaded in_force=edge.grace '
     fill bounds.grace_s=2.5 bounds.hold_max_ms=2500.5 limits.cpu_share=1 limits.link_mbps=10000 \
         bounds.retry_budget_ratio=1 bounds.retry_budget_slack=60.5 bounds.budget_window_s=10.5 \
-        provider.address="$ip:7006"
+        bounds.cold_over=2 bounds.cold_slack=4 provider.address="$ip:7006"
     kill -HUP "$node"
-    expect 'in_force=store.address,node.processor_share,node.link_megabits,grants.longest_hold,repeats.ratio,repeats.slack,repeats.window '
+    expect 'in_force=store.address,node.processor_share,node.link_megabits,grants.longest_hold,repeats.ratio,repeats.slack,repeats.window,cold_servers.rate_factor,cold_servers.slack '
     fill bounds.grace_s=2.5 bounds.budget_window_s=
     expect 'event=settings_without_figure keys=repeats.window'
     fill bounds.grace_s=soon
