Cheaper plans of queues, and a coordination benchmark with competing priorities

Cause: scripts/measure.sh coordination has one priority only, so it never ran planQueue().

Change: a job that is alone in its queue is placed on a free slot without a plan if it has twice its expected work left; queues are sorted once only; the estimate of a class is looked up once per run of jobs; evictions are not searched for.

--- a/bench/coordination/src/CoordinationLoad.cpp
+++ b/bench/coordination/src/CoordinationLoad.cpp
@@ -55,6 +55,21 @@
     return servers;
 }
 
+void addRoutes(fleet::Configuration& configuration)
+{
+    for (const char* service : { "plain", "keyed" }) {
+        for (std::uint32_t priority : { 0U, 1U }) {
+            fleet::Route route;
+            route.name = service + std::to_string(priority);
+            route.host = "caller";
+            route.prefix = "/" + route.name + "/";
+            route.priority = priority;
+            route.targets = { { service, 1 } };
+            configuration.addRoute(route);
+        }
+    }
+}
+
 }
 
 CoordinationLoad::CoordinationLoad(DeploymentSize deployment, std::uint64_t seed)
@@ -67,6 +82,8 @@
     configuration->version = 1;
     configuration->services["plain"] = { "plain", 1000, false, {} };
     configuration->services["keyed"] = { "keyed", 1000, true, {} };
+    if (this->size.competingPriorities)
+        addRoutes(*configuration);
     this->coordinator.setConfiguration(configuration, std::string(4000, 'x'));
     this->coordinator.setServers(makeServers(this->size));
     this->coordinator.setLinkSpeed(200);
@@ -103,6 +120,11 @@
         message->set_target_left_ms(toMillis(target));
         message->set_deadline_left_ms(toMillis(deadline));
         message->set_max_attempts(2);
+        if (this->size.competingPriorities) {
+            auto priority = static_cast<std::uint32_t>(this->lastJob[host] % 2);
+            message->set_priority(priority);
+            message->set_work_class(priority + 1);
+        }
         ++this->result.submitted;
         this->deliver(datagram, host, this->result.time.submissions);
     }
--- a/bench/coordination/src/CoordinationLoad.h
+++ b/bench/coordination/src/CoordinationLoad.h
@@ -20,6 +20,7 @@
     std::uint32_t slots = 2;
     bool tickOnResponse = false; //!< runs all decisions after each response to an order
     double hotShare = 0; //!< of the keyed requests, to a few keys
+    bool competingPriorities = false; //!< two priorities, for which planQueue() decides who is served
 };
 
 //! Processor time of the coordinator by kind of work, in seconds per simulated second.
--- a/bench/coordination/src/main.cpp
+++ b/bench/coordination/src/main.cpp
@@ -6,6 +6,7 @@
 DEFINE_double(requests_per_host, 13, "requests per second and host");
 DEFINE_double(overload, 1, "factor on the requests; above 1.4 the servers cannot serve all");
 DEFINE_double(hot_share, 0, "share of the keyed requests that go to a few keys, which change every five seconds");
+DEFINE_bool(competing_priorities, false, "requests of two priorities compete, so that the queues are cost-aware");
 DEFINE_bool(tick_on_response, false, "run all decisions after each response to a lease order");
 DEFINE_uint64(seed, 1, "seed of arrivals and service times");
 DEFINE_uint32(seconds, 5, "simulated seconds that are measured");
@@ -22,6 +23,7 @@
         size.hosts = hosts;
         size.requestsPerSecond = FLAGS_requests_per_host * FLAGS_overload * static_cast<double>(hosts);
         size.hotShare = FLAGS_hot_share;
+        size.competingPriorities = FLAGS_competing_priorities;
         size.tickOnResponse = FLAGS_tick_on_response;
         sequoia::bench::CoordinationLoad load(size, FLAGS_seed);
         auto result = load.run(std::chrono::seconds(3), std::chrono::seconds(FLAGS_seconds));
--- a/libs/balance/include/balance/QueuePlan.h
+++ b/libs/balance/include/balance/QueuePlan.h
@@ -20,7 +20,7 @@
 
 //! A waiting job that will not be served by its deadline.
 struct QueueEviction {
-    JobId job;
+    const Job* job = nullptr;
     Duration wait {}; //!< time until the jobs before it are done
 };
 
--- a/libs/balance/include/balance/Scheduler.h
+++ b/libs/balance/include/balance/Scheduler.h
@@ -113,6 +113,9 @@
     void recordArrival(Pool& pool, const std::string& queue, const Job& job, TimePoint now);
     //! Places jobs of a planned queue on free slots, and refuses those that cannot be served by their deadlines.
     void applyPlan(Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
+    //! Places the only job of a queue if a slot is free and there is time enough.
+    bool placeSingleJob(
+        Pool& pool, const std::string& queue, TimePoint now, std::vector<SchedulingDecision>& decisions);
     QueueCapacity capacityOf(Pool& pool, const std::string& queue, TimePoint now);
     std::optional<std::string> serverFor(
         const Pool& pool, const std::string& queue, const Job& job, TimePoint now) const;
--- a/libs/balance/src/QueuePlan.cpp
+++ b/libs/balance/src/QueuePlan.cpp
@@ -14,9 +14,12 @@
 
 std::vector<const Job*> sortedByPriority(std::vector<const Job*> waiting)
 {
-    std::sort(waiting.begin(), waiting.end(), [](const Job* left, const Job* right) {
+    auto goesFirst = [](const Job* left, const Job* right) {
         return std::tie(left->priority, left->target, left->id) < std::tie(right->priority, right->target, right->id);
-    });
+    };
+    // Queues are kept in this order.
+    if (!std::is_sorted(waiting.begin(), waiting.end(), goesFirst))
+        std::sort(waiting.begin(), waiting.end(), goesFirst);
     return waiting;
 }
 
@@ -65,13 +68,14 @@
         return std::max(this->capacity.unusableFor,
             Duration(static_cast<std::int64_t>(this->capacity.slowness * this->micros / slots)));
     }
-    Duration onServer(Duration time) const
+    //! Expected time of the job at a server.
+    Duration onServer(const Job& job)
     {
-        return Duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * this->capacity.slowness));
+        return Duration(static_cast<std::int64_t>(this->meanMicros(job) * this->capacity.slowness));
     }
     void add(const Job& job)
     {
-        this->micros += static_cast<double>(this->work.mean(job.workClass).count());
+        this->micros += this->meanMicros(job);
         this->count += 1;
     }
 
@@ -79,8 +83,20 @@
     // A queue whose servers are all suspended has no slots; its jobs wait for one.
     static constexpr double minSlots = 1;
 
+    // Jobs of one class often follow each other, and this is needed for every waiting job at each arrival.
+    double meanMicros(const Job& job)
+    {
+        if (this->lastMicros < 0 || job.workClass != this->lastClass) {
+            this->lastClass = job.workClass;
+            this->lastMicros = static_cast<double>(this->work.mean(job.workClass).count());
+        }
+        return this->lastMicros;
+    }
+
     const WorkEstimates& work;
     const QueueCapacity& capacity;
+    std::uint32_t lastClass = 0;
+    double lastMicros = -1;
     double micros = 0;
     double count = 0;
 };
@@ -95,13 +111,13 @@
     std::vector<const Job*> late;
     WorkAhead ahead(work, capacity);
     for (const auto* job : withShareForLessUrgent(sorted, capacity.urgentStarts)) {
-        if (now + ahead.onServer(work.mean(job->workClass)) > job->target) {
+        if (now + ahead.onServer(*job) > job->target) {
             late.push_back(job);
             continue;
         }
         auto wait = ahead.wait(1);
-        if (now + wait + ahead.onServer(work.mean(job->workClass)) > job->deadline) {
-            plan.evictions.push_back({ job->id, wait });
+        if (now + wait + ahead.onServer(*job) > job->deadline) {
+            plan.evictions.push_back({ job, wait });
             continue;
         }
         plan.order.push_back(job);
@@ -111,8 +127,8 @@
     double lateShare = std::clamp(1 - capacity.onTimeLoad, minLateShare, 1.0);
     for (const auto* job : late) {
         auto wait = ahead.wait(lateShare);
-        if (now + wait + ahead.onServer(work.mean(job->workClass)) > job->deadline) {
-            plan.evictions.push_back({ job->id, wait });
+        if (now + wait + ahead.onServer(*job) > job->deadline) {
+            plan.evictions.push_back({ job, wait });
             continue;
         }
         plan.order.push_back(job);
--- a/libs/balance/src/QueuePlanning.cpp
+++ b/libs/balance/src/QueuePlanning.cpp
@@ -15,6 +15,9 @@
 constexpr Duration minRetryAfter = std::chrono::milliseconds(100);
 // Part of the capacity that is kept for callers that were told to come back, even in overload.
 constexpr double minReturnShare = 0.1;
+// A job with this many times its expected work left until its deadline is placed on a free slot without a plan. Servers
+// have two slots or more, so that the wait behind a job in the extra place is shorter than the job.
+constexpr double singleJobMargin = 2;
 // Slowness that overdue jobs alone can show, relative to the measured one, where callers compete for the servers: a
 // wrong estimate there refuses jobs that would be served in time.
 constexpr double overdueLimitInOverload = 2;
@@ -81,8 +84,9 @@
 
 void Scheduler::recordArrival(Pool& pool, const std::string& name, const Job& job, TimePoint now)
 {
-    auto capacity = this->capacityOf(pool, name, now);
-    auto likely = static_cast<double>(pool.work.likely(job.workClass).count()) * capacity.slowness;
+    auto load = pool.keyed ? this->loads.find(name) : this->loads.end();
+    double slowness = load == this->loads.end() ? 1 : load->second.slowness(pool.work.mean(0), now);
+    auto likely = static_cast<double>(pool.work.likely(job.workClass).count()) * slowness;
     if (now + Duration(static_cast<std::int64_t>(likely)) <= job.target)
         pool.states[name].arrivals.record(pool.work.mean(job.workClass), now);
 }
@@ -112,11 +116,34 @@
     return { job.id, RefusalReason::Overloaded, retryAfter };
 }
 
+// Without overload most jobs find a free slot and no other job waiting, so that there is nothing to plan.
+bool Scheduler::placeSingleJob(
+    Pool& pool, const std::string& name, TimePoint now, std::vector<SchedulingDecision>& decisions)
+{
+    auto& queue = pool.queues[name];
+    if (queue.size() != 1)
+        return false;
+    auto job = queue.begin()->second;
+    auto load = pool.keyed ? this->loads.find(name) : this->loads.end();
+    double slowness = load == this->loads.end() ? 1 : load->second.slowness(pool.work.mean(0), now);
+    double longest = static_cast<double>(pool.work.mean(job.workClass).count()) * slowness * singleJobMargin;
+    if (now + Duration(static_cast<std::int64_t>(longest)) > job.deadline)
+        return false;
+    auto server = this->serverFor(pool, name, job, now);
+    if (!server)
+        return false;
+    ++pool.states[name].urgentStarts;
+    this->place(pool, job, *server, now, decisions);
+    this->waiting.erase(job.id);
+    queue.clear();
+    return true;
+}
+
 void Scheduler::applyPlan(
     Pool& pool, const std::string& name, TimePoint now, std::vector<SchedulingDecision>& decisions)
 {
     auto& queue = pool.queues[name];
-    if (queue.empty())
+    if (queue.empty() || this->placeSingleJob(pool, name, now, decisions))
         return;
     std::vector<const Job*> jobs;
     jobs.reserve(queue.size());
@@ -151,12 +178,8 @@
             break;
         isFirst = false;
     }
-    for (const auto& eviction : plan.evictions) {
-        auto entry = std::find_if(
-            queue.begin(), queue.end(), [&](const auto& waitingJob) { return waitingJob.first.id == eviction.job; });
-        if (entry != queue.end())
-            evict(Job(entry->second), eviction.wait);
-    }
+    for (const auto& eviction : plan.evictions)
+        evict(Job(*eviction.job), eviction.wait);
 }
 
 }
--- a/libs/balance/tests/QueuePlanTest.cpp
+++ b/libs/balance/tests/QueuePlanTest.cpp
@@ -65,7 +65,7 @@
     for (const auto* job : plan.order)
         ids.push_back(job->id);
     for (const auto& eviction : plan.evictions)
-        ids.push_back(eviction.job);
+        ids.push_back(eviction.job->id);
     return ids;
 }
 
@@ -134,7 +134,7 @@
         double jobTimes = (8.0 + double(jobs.size())) * capacity.slowness * 2 / std::max(1.0, capacity.slots);
         auto longest = capacity.unusableFor + Duration(std::int64_t(560e3 * jobTimes));
         for (const auto& eviction : planQueue(pointersTo(jobs), work, capacity, now).evictions) {
-            const auto& job = jobs[eviction.job.number - 1];
+            const auto& job = *eviction.job;
             auto onServer = Duration(std::int64_t(work.mean(job.workClass).count() * capacity.slowness));
             RC_ASSERT(now + eviction.wait + onServer > job.deadline);
             RC_ASSERT(eviction.wait <= longest);
