Settings: an unfilled placeholder of the template counts as a missing figure

Cause: a filler that does not know new names leaves {{name}} in the settings, and the process would not start; lines with sections of the template are no INI lines either.

--- a/libs/settings/src/Schema.cpp
+++ b/libs/settings/src/Schema.cpp
@@ -270,7 +270,11 @@
 {
     if (spec.presence == Required)
         return false;
-    auto isAbsent = [](std::string_view text) { return text.empty() || text == "true" || text == "false"; };
+    // A placeholder of the template that was not filled says as little as an empty value.
+    auto isAbsent = [](std::string_view text) {
+        bool isPlaceholder = text.starts_with("{{") && text.ends_with("}}");
+        return text.empty() || text == "true" || text == "false" || isPlaceholder;
+    };
     if (isAbsent(value))
         return true;
     return spec.type == Duration && std::any_of(durationUnits.begin(), durationUnits.end(), [&](const Unit& unit) {
