--- a/libs/settings/include/settings/Schema.h
+++ b/libs/settings/include/settings/Schema.h
@@ -46,8 +46,8 @@
 //! Whether the section is declared at all.
 bool isDeclaredSection(std::string_view section);
 
-//! Whether the value of an optional figure is empty, `true`, `false` or an unfilled placeholder `{{name}}`, each with or
-//! without a unit.
+//! Whether the value of an optional figure is empty, `true`, `false` or an unfilled placeholder `{{name}}`, each with
+//! or without a unit.
 bool lacksFigure(const SettingSpec& spec, std::string_view value);
 
 //! Checks a value against its declaration; the message names type, unit and range.
