Tests of the limit on overdue jobs and of the set of planned services; linter finding in the metrics page

Measured: balance_tests (42 cases), fleet_tests (8), coordination_tests (28) pass; clang-tidy has no findings in the changed sources. A lone sequoia-node without a store serves the metrics page with the counter of moves; the counters by service and event=queueing need a coordinator and were not seen in a running process.

--- a/libs/balance/tests/QueuePlanTest.cpp
+++ b/libs/balance/tests/QueuePlanTest.cpp
@@ -210,6 +210,21 @@
     CHECK(server.scheduler.waitingJobs() == 21);
 }
 
+// Guards against the limit on what overdue jobs show, which applied only after the next list of servers, and stayed
+// when a service had no competing priorities any more.
+TEST_CASE("the limit on overdue jobs follows the set of planned services")
+{
+    auto slownessAfter = [](const std::vector<std::set<std::string, std::less<>>>& changes) {
+        OneServer server(6);
+        server.submit(0, milliseconds(600), std::chrono::seconds(60));
+        for (const auto& services : changes)
+            server.scheduler.setCostAwareServices(services);
+        return server.scheduler.servers().at("s").slowness(milliseconds(150), now + std::chrono::seconds(9));
+    };
+    CHECK(slownessAfter({ { "service" } }) == doctest::Approx(2));
+    CHECK(slownessAfter({ { "service" }, {} }) == doctest::Approx(20));
+}
+
 // Load pattern: many refusals at one moment. Guards against callers who return together, later than they can use.
 TEST_CASE("returns are spread in order, within the time that callers have")
 {
--- a/libs/fleet/tests/FleetTest.cpp
+++ b/libs/fleet/tests/FleetTest.cpp
@@ -100,4 +100,5 @@
     CHECK(configuration.hasCompetingPriorities("a"));
     CHECK_FALSE(configuration.hasCompetingPriorities("b"));
     CHECK_FALSE(configuration.hasCompetingPriorities("unknown"));
+    CHECK(configuration.servicesWithCompetingPriorities() == std::set<std::string, std::less<>> { "a" });
 }
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -25,7 +25,12 @@
     auto add = [&](const std::string& name, const char* help, auto valueOf) {
         text += "# HELP " + name + " " + help + "\n# TYPE " + name + " counter\n";
         for (const auto& [service, values] : counters)
-            text += name + "{service=\"" + service + "\"} " + std::to_string(valueOf(values)) + "\n";
+            text.append(name)
+                .append("{service=\"")
+                .append(service)
+                .append("\"} ")
+                .append(std::to_string(valueOf(values)))
+                .append("\n");
     };
     add("sequoia_jobs_refused_on_arrival_total", "Requests refused for overload when they arrived.",
         [](const auto& values) { return values.refusedOnArrival; });
