Bound connections to servers and leave descriptors; refuse, not deny, without the newest configuration

Callers that repeat an id never reuse the connection that served it last, so idle connections to servers piled up (62 to each of two servers, counted while it ran); and callers with their servers' connections could take all descriptors. Change: the pool closes the connection that has been idle longest beyond the callers' limit, which is 0.4 of the descriptors; a host that knows of a newer configuration answers 503 with Retry-After where no route matches. Ruled out: more callers (60 were connected).

--- a/libs/client/include/client/ConnectionPool.h
+++ b/libs/client/include/client/ConnectionPool.h
@@ -25,6 +25,9 @@
     //! use the same address one after the other. Skips connections whose last request had the given tag.
     ClientConnection& acquire(
         const std::string& peer, const net::SocketAddress& address, Duration maxIdle, const std::string& tag = {});
+    //! Bounds the number of connections: beyond it, the connection that has been idle longest is closed for a new one.
+    //! Connections in use are not bounded. 0 is no bound.
+    void setMaxConnections(std::size_t count) { this->maxConnections = count; }
     //! Closes the idle connections to one peer.
     void closeIdle(const std::string& peer);
     //! Closes connections whose idle timeout has passed; called about once per second.
@@ -43,6 +46,8 @@
     void onRequestEnd(ClientConnection& connection, bool reusable) override;
     void onIdleClosed(ClientConnection& connection) override;
     void remove(ClientConnection& connection);
+    //! Returns whether there was an idle connection.
+    bool closeLongestIdle();
     Duration idleTimeoutOf(const ClientConnection& connection) const;
 
     net::Reactor& reactor;
@@ -51,6 +56,7 @@
     //! The most recently used connection is last and reused first, so that the others reach their idle timeout.
     std::map<std::string, std::vector<ClientConnection*>> idle;
     std::uint64_t openedCount = 0;
+    std::size_t maxConnections = 0;
 };
 
 }
--- a/libs/client/src/ConnectionPool.cpp
+++ b/libs/client/src/ConnectionPool.cpp
@@ -47,6 +47,8 @@
         }
         this->remove(*connection);
     }
+    // Callers that repeat an id never get the connection that served it last, so that idle ones would pile up.
+    while (this->maxConnections > 0 && this->connections.size() >= this->maxConnections && this->closeLongestIdle()) { }
     ++this->openedCount;
     ConnectionOwner& self = *this;
     auto created = std::make_unique<ClientConnection>(this->reactor, address, self);
@@ -65,6 +67,23 @@
     this->idle.erase(found);
 }
 
+bool ConnectionPool::closeLongestIdle()
+{
+    auto oldest = this->idle.end();
+    for (auto entry = this->idle.begin(); entry != this->idle.end(); ++entry) {
+        if (entry->second.empty())
+            continue;
+        if (oldest == this->idle.end() || entry->second.front()->idleSince() < oldest->second.front()->idleSince())
+            oldest = entry;
+    }
+    if (oldest == this->idle.end())
+        return false;
+    auto* connection = oldest->second.front();
+    oldest->second.erase(oldest->second.begin());
+    this->remove(*connection);
+    return true;
+}
+
 void ConnectionPool::closeExpired()
 {
     auto now = this->reactor.now();
--- a/libs/edge/include/edge/EdgeServer.h
+++ b/libs/edge/include/edge/EdgeServer.h
@@ -47,6 +47,7 @@
     std::map<std::string, TimePoint> invalidLoadLoggedAt; //!< by server
     CallerLimitLog& limitLog;
     MemoryAccount& memory;
+    bool configurationOutdated = false; //!< a newer version has been announced
 };
 
 //! HTTP server that forwards the requests of callers to backend servers.
@@ -59,6 +60,9 @@
     Result<Success> listen(const net::SocketAddress& address);
     net::SocketAddress address() const;
     void setConfiguration(std::shared_ptr<const fleet::Configuration> configuration);
+    //! Sets whether a newer configuration is known to exist. Requests without a route are refused then, since the newer
+    //! one may have a route for them.
+    void setConfigurationOutdated(bool outdated) { this->context.configurationOutdated = outdated; }
     //! Sets the ceilings for all callers together, with immediate effect.
     void setCeilings(const CallerCeilings& ceilings);
     //! Closes the idle connections to a backend server that was removed.
--- a/libs/edge/src/CallerCeilings.cpp
+++ b/libs/edge/src/CallerCeilings.cpp
@@ -8,8 +8,8 @@
 
 // The rest of the memory is for the program, the state of the fleet, and what the allocator does not give back.
 constexpr double memoryShare = 0.5;
-// A request that is running needs a second descriptor for its server.
-constexpr double descriptorShare = 0.5;
+// A request that is running needs a second descriptor for its server. The rest is for the store, other hosts and files.
+constexpr double descriptorShare = 0.4;
 constexpr double bytesPerMegabyte = 1e6;
 // A smaller host still serves several requests with the largest buffers at once.
 constexpr double minMemoryBytes = 8e6;
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -19,6 +19,8 @@
 // Deadline of a request without a deadline header.
 constexpr Duration defaultDeadline = std::chrono::seconds(10);
 constexpr Duration maxDeadline = std::chrono::minutes(10);
+// An announced configuration arrives within this time, unless a link or the store is disturbed.
+constexpr Duration configurationRetryAfter = std::chrono::milliseconds(400);
 // Bodies up to this size are buffered for retries; larger ones are streamed.
 constexpr std::size_t replayLimitBytes = std::size_t { 512 } * 1024;
 // Placement starts once this much of the body has arrived, so that a slow caller does not occupy a slot.
@@ -109,6 +111,10 @@
     const auto* host = this->head.headers.find("Host");
     if (host)
         this->route = this->configuration->match(hostOf(*host), pathOf(this->head.target));
+    if (!this->route && this->context.configurationOutdated) {
+        this->respondLocally(503, configurationRetryAfter, "no route matches, and a newer configuration is on its way");
+        return false;
+    }
     if (!this->route) {
         this->respondLocally(404, {}, "no route matches host and path");
         return false;
--- a/libs/edge/src/EdgeServer.cpp
+++ b/libs/edge/src/EdgeServer.cpp
@@ -115,6 +115,7 @@
 {
     this->memory.setCeiling(ceilings.memoryBytes);
     this->maxConnections = ceilings.connections;
+    this->backends.setMaxConnections(ceilings.connections);
 }
 
 // The host also needs descriptors for the store, backend servers, other hosts and files.
--- a/libs/edge/tests/MemoryAccountTest.cpp
+++ b/libs/edge/tests/MemoryAccountTest.cpp
@@ -103,5 +103,5 @@
     CHECK(CallerCeilings::ofHost(0, 0).memoryBytes == 0);
     CHECK(CallerCeilings::ofHost(0, 0).connections == 0);
     CHECK(CallerCeilings::ofHost(120, 3075).memoryBytes == 60'000'000);
-    CHECK(CallerCeilings::ofHost(120, 3075).connections == 1537);
+    CHECK(CallerCeilings::ofHost(120, 3075).connections == 1230);
 }
--- a/libs/edge/tests/RequestTest.cpp
+++ b/libs/edge/tests/RequestTest.cpp
@@ -68,6 +68,13 @@
     EdgeFixture edge({});
     CHECK(edge.sendRequest("nonsense\r\n\r\n").starts_with("HTTP/1.1 400 "));
     CHECK(edge.sendRequest(requestText("GET", "/none/x", "r1")).starts_with("HTTP/1.1 404 "));
+    // A route that a newer configuration adds must not be denied by a host that does not have it yet.
+    edge.run([](EdgeServer& server) { server.setConfigurationOutdated(true); });
+    auto refusal = edge.sendRequest(requestText("GET", "/none/x", "r2"));
+    CHECK(refusal.starts_with("HTTP/1.1 503 "));
+    CHECK(refusal.find("Retry-After: 0.400") != std::string::npos);
+    edge.run([](EdgeServer& server) { server.setConfigurationOutdated(false); });
+    CHECK(edge.sendRequest(requestText("GET", "/none/x", "r3")).starts_with("HTTP/1.1 404 "));
     CHECK(edge.sendRequest("GET /safe/x HTTP/1.1\r\nHost: test.example\r\n\r\n").starts_with("HTTP/1.1 400 "));
     CHECK(edge.sendRequest(requestText("GET", "/keyed/x", "r1", "Test-Key: 65536\r\n")).starts_with("HTTP/1.1 400 "));
     CHECK(edge.sendRequest(requestText("GET", "/safe/x", "r1", "X-Long: " + std::string(20'000, 'a') + "\r\n"))
--- a/programs/node/src/ConfigurationWatcher.h
+++ b/programs/node/src/ConfigurationWatcher.h
@@ -38,6 +38,8 @@
     void setSource(Source source);
     //! Reads the row if the coordinator has announced a newer version than the current one for a while.
     void onVersionAnnounced(std::uint64_t version);
+    //! Whether the coordinator has announced a newer version than the current one.
+    bool lacksAnnouncedVersion() const { return this->missingSince.has_value(); }
     //! Takes a configuration from the coordinator.
     void applyReceived(const std::string& text);
     //! Takes the evacuations as the coordinator knows them, unless this host knows a newer state.
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -85,6 +85,7 @@
     this->configurationWatcher = std::make_unique<ConfigurationWatcher>(this->reactor, this->store, this->events,
         [this](const std::shared_ptr<const fleet::Configuration>& current, const std::string& text) {
             this->edge->setConfiguration(current);
+            this->edge->setConfigurationOutdated(this->configurationWatcher->lacksAnnouncedVersion());
             this->coordination->setConfiguration(current, text);
         });
     if (settings.duration("evacuation", "bound") > Duration::zero())
@@ -140,8 +141,10 @@
     callbacks.onConfiguration = [this](const std::string& text) { this->configurationWatcher->applyReceived(text); };
     callbacks.onEvacuations
         = [this](const fleet::EvacuationState& state) { this->configurationWatcher->applyReceivedEvacuations(state); };
-    this->coordination->setStateCallbacks(std::move(callbacks),
-        [this](std::uint64_t version) { this->configurationWatcher->onVersionAnnounced(version); });
+    this->coordination->setStateCallbacks(std::move(callbacks), [this](std::uint64_t version) {
+        this->configurationWatcher->onVersionAnnounced(version);
+        this->edge->setConfigurationOutdated(this->configurationWatcher->lacksAnnouncedVersion());
+    });
     this->configurationWatcher->start();
     this->coordination->setFirstRowCallback([this] { this->updateDataSources(); });
     this->coordination->start();
