Log which hosts the coordinator knows, each host's number, and placed requests at debug level

Change: event=host when the coordinator adds or removes a host, event=host_number when a host learns its number, event=placed for each attempt at level debug. The number of a host moves from CoordinationTask to HostIdentity, unchanged, so that a test without sockets can use it.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -3,6 +3,7 @@
 #include "balance/Scheduler.h"
 #include "balance/ServerNotice.h"
 #include "coordination/StatePublisher.h"
+#include "core/EnumTable.h"
 #include "core/Random.h"
 #include "fleet/Configuration.h"
 #include "fleet/Evacuations.h"
@@ -23,6 +24,24 @@
     wire::Datagram datagram;
 };
 
+enum class HostChange {
+    Added,
+    Removed, //!< It has not reported for some time.
+};
+
+inline constexpr EnumTable<HostChange, 2> hostChangeNames { {
+    { HostChange::Added, "added" },
+    { HostChange::Removed, "removed" },
+} };
+
+//! A change of the hosts that the coordinator knows, for the log.
+struct HostEvent {
+    HostChange change = HostChange::Added;
+    std::uint64_t number = 0;
+    std::string incarnation;
+    std::string address;
+};
+
 //! Status of the coordinator that its beacons announce.
 struct CoordinatorStatus {
     std::string ownIncarnation; //!< of the coordinator's own host
@@ -70,6 +89,7 @@
     std::vector<keyspace::KeyPlan> takePlanWrites();
     std::vector<keyspace::LeaseOrder> takeLeaseOrders();
     std::vector<keyspace::OwnershipEvent> takeOwnershipEvents();
+    std::vector<HostEvent> takeHostEvents();
     void onPlanWritten(const std::string& service, std::uint64_t sequence);
     void onOrderResponse(const keyspace::LeaseOrder& order, const keyspace::LeaseOrderResponse& response);
     bool isSuperseded() const;
@@ -177,6 +197,7 @@
     std::vector<keyspace::KeyPlan> planWrites;
     std::vector<keyspace::LeaseOrder> leaseOrders;
     std::vector<keyspace::OwnershipEvent> ownershipEvents;
+    std::vector<HostEvent> hostEvents;
     std::uint64_t lastHostNumber = 0;
     bool peerStoreContact = false;
     TimePoint lastLoadUpdate {};
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -172,6 +172,7 @@
         this->addressOfHost[host.number] = address;
         this->incarnationOfHost[host.number] = incarnation;
         host.firstReport = this->clock.now();
+        this->hostEvents.push_back({ HostChange::Added, host.number, incarnation, address });
     }
     host.address = address;
     host.lastReport = this->clock.now();
@@ -381,6 +382,8 @@
     for (auto entry = this->hosts.begin(); entry != this->hosts.end();) {
         auto next = std::next(entry);
         if (now - entry->second.lastReport > hostTimeout) {
+            this->hostEvents.push_back(
+                { HostChange::Removed, entry->second.number, entry->first, entry->second.address });
             this->setUnmanagedJobs(entry->second, {});
             this->scheduler.removeHost(entry->second.number, now);
             this->addressOfHost.erase(entry->second.number);
@@ -550,6 +553,11 @@
     return std::exchange(this->ownershipEvents, {});
 }
 
+std::vector<HostEvent> Coordinator::takeHostEvents()
+{
+    return std::exchange(this->hostEvents, {});
+}
+
 void Coordinator::onPlanWritten(const std::string& service, std::uint64_t sequence)
 {
     auto found = this->keyedServices.find(service);
--- a/libs/edge/src/CallerRequest.cpp
+++ b/libs/edge/src/CallerRequest.cpp
@@ -248,6 +248,7 @@
     this->attemptActive = true;
     this->connection->startRequest(this->requestHead(target.server), this->head.method == "HEAD",
         this->responseBufferLimit(), *this, this->requestId);
+    this->logPlacement();
     this->onDrained();
 }
 
@@ -548,6 +549,17 @@
     this->requestBody.clear();
 }
 
+void CallerRequest::logPlacement() const
+{
+    if (!timeline::EventLog::isLogged(timeline::Severity::Debug))
+        return;
+    this->context.events.record(timeline::Severity::Debug, "placed",
+        { { "request", this->requestId }, { "job", std::to_string(this->job) }, { "route", this->route->name },
+            { "config", std::to_string(this->configuration->version) }, { "service", this->service },
+            { "key", this->key ? std::to_string(*this->key) : "" }, { "server", this->peer },
+            { "decided_by", this->decidedBy }, { "attempts", std::to_string(this->attempts) } });
+}
+
 void CallerRequest::logOutcome(const std::string& outcome, unsigned status, const std::string& reason)
 {
     // Forwarded responses are the normal case; they are counted but not logged.
--- a/libs/edge/src/CallerRequest.h
+++ b/libs/edge/src/CallerRequest.h
@@ -77,6 +77,7 @@
     void respondLocally(unsigned status, Duration retryAfter, const std::string& reason);
     void onDeadline();
     void finish(RequestOutcome outcome);
+    void logPlacement() const;
     void logOutcome(const std::string& outcome, unsigned status, const std::string& reason);
 
     EdgeContext& context;
--- a/libs/timeline/include/timeline/EventLog.h
+++ b/libs/timeline/include/timeline/EventLog.h
@@ -30,6 +30,8 @@
     //! `process` identifies program and host, for example controller@host-3.
     EventLog(std::string process, const Clock& clock, std::size_t capacity);
 
+    //! Whether events of the severity reach the log, so that others need not be put together.
+    static bool isLogged(Severity severity);
     void record(Severity severity, std::string_view kind, EventFields fields);
     void record(Severity severity, std::string_view kind, const std::vector<wire::EventField>& fields);
 
--- a/libs/timeline/src/EventLog.cpp
+++ b/libs/timeline/src/EventLog.cpp
@@ -101,6 +101,11 @@
     assert(bufferCapacity > 0);
 }
 
+bool EventLog::isLogged(Severity severity)
+{
+    return logger()->isEnabledFor(levelOf(severity));
+}
+
 void EventLog::record(Severity severity, std::string_view kind, EventFields fields)
 {
     wire::Event event;
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -27,9 +27,6 @@
 constexpr double handoverShareRatio = 2;
 // Changes of the number of cold servers are logged this often.
 constexpr Duration coldServerLogInterval = std::chrono::seconds(1);
-// A coordinator that has forgotten this host sends it no beacons. The host names itself by its number only while
-// several of the last ones have arrived.
-constexpr Duration hostNumberValidity = std::chrono::milliseconds(450);
 constexpr Duration planReadRetryInterval = std::chrono::milliseconds(150);
 
 }
@@ -58,6 +55,7 @@
     : reactor(owner)
     , events(log)
     , incarnation(ownIncarnation)
+    , identity(ownIncarnation)
     , address(settings.text("peers", "listen"))
     , processorShare(settings.real("node", "processor_share"))
     , linkMegabits(settings.real("node", "link_megabits"))
@@ -138,6 +136,15 @@
             { "reason", "their requests are limited until they are warm" } });
 }
 
+void CoordinationTask::logHosts()
+{
+    for (const auto& event : this->coordinator->takeHostEvents())
+        this->events.record(timeline::Severity::Info, "host",
+            { { "change", std::string(nameOf(coordination::hostChangeNames, event.change)) },
+                { "number", std::to_string(event.number) }, { "incarnation", event.incarnation },
+                { "address", event.address }, { "term", std::to_string(this->coordinator->term()) } });
+}
+
 void CoordinationTask::setServers(const fleet::ServerMap& listedServers)
 {
     this->servers = listedServers;
@@ -232,11 +239,10 @@
     }
     if (fromHost || datagram.term() < this->coordinatorTerm)
         return;
-    if (datagram.term() != this->coordinatorTerm) {
+    if (datagram.term() != this->coordinatorTerm)
         this->coordinatorDataCentre.clear();
-        this->hostNumber = 0;
-    }
     this->coordinatorTerm = datagram.term();
+    this->identity.receive(datagram, this->reactor.now());
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender);
     if (datagram.has_beacon() || datagram.buckets_size() > 0 || datagram.has_server_changes())
@@ -262,9 +268,20 @@
     this->placement->setHostCount(beacon.hosts());
     if (!beacon.data_centre().empty())
         this->coordinatorDataCentre = beacon.data_centre();
-    this->hostNumber = beacon.host_number();
-    if (beacon.host_number() != 0)
-        this->placement->setHostNumber(beacon.host_number());
+    if (this->identity.number() != 0)
+        this->placement->setHostNumber(this->identity.number());
+    this->logHostNumber();
+}
+
+void CoordinationTask::logHostNumber()
+{
+    if (this->identity.number() == this->loggedHostNumber && this->coordinatorTerm == this->loggedHostNumberTerm)
+        return;
+    this->loggedHostNumber = this->identity.number();
+    this->loggedHostNumberTerm = this->coordinatorTerm;
+    this->events.record(timeline::Severity::Info, "host_number",
+        { { "number", std::to_string(this->loggedHostNumber) },
+            { "term", std::to_string(this->loggedHostNumberTerm) } });
 }
 
 void CoordinationTask::setStateCallbacks(ReceivedState::Callbacks callbacks, VersionCallback versionCallback)
@@ -311,8 +328,8 @@
 {
     wire::Datagram datagram;
     bool hasMessages = this->placement->takeMessages(datagram);
-    datagram.set_sender(this->incarnation);
     if (this->coordinator) {
+        datagram.set_sender(this->incarnation);
         if (hasMessages)
             this->coordinator->receive(datagram, this->address);
         this->sendDatagrams(this->coordinator->takeReplies());
@@ -324,11 +341,7 @@
 
 void CoordinationTask::sendToCoordinator(wire::Datagram& datagram)
 {
-    datagram.set_term(this->coordinatorTerm);
-    if (this->hostNumber != 0 && this->reactor.now() - this->lastBeaconReceived < hostNumberValidity) {
-        datagram.clear_sender();
-        datagram.set_host_number(this->hostNumber);
-    }
+    this->identity.sign(datagram, this->coordinatorTerm, this->reactor.now());
     this->sender.send(datagram, this->election.coordinatorAddress(),
         coordination::trafficScope(this->dataCentre, this->coordinatorDataCentre));
 }
@@ -377,7 +390,6 @@
 {
     wire::Datagram datagram;
     this->placement->takeMessages(datagram);
-    datagram.set_sender(this->incarnation);
     auto* message = datagram.mutable_report();
     this->placement->fillReport(*message);
     this->placement->fillNotices(datagram);
@@ -389,6 +401,7 @@
     if (this->coordinator) {
         // The coordinator looks for other hosts that reach the store, so its own contact must not count.
         message->set_store_contact_age_ms(std::numeric_limits<std::int64_t>::max());
+        datagram.set_sender(this->incarnation);
         this->coordinator->receive(datagram, this->address);
         this->sendDatagrams(this->coordinator->takeReplies());
         return;
@@ -549,6 +562,7 @@
     this->sendDatagrams(this->coordinator->takeReplies());
     if (!this->coordinator)
         return;
+    this->logHosts();
     this->logColdServers();
     if (this->coordinator->isSuperseded()) {
         this->execute(this->election.higherFenceSeen(now));
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -4,6 +4,7 @@
 #include "LibraryOptions.h"
 #include "ReceivedState.h"
 #include "coordination/Coordinator.h"
+#include "coordination/HostIdentity.h"
 #include "coordination/ListReadPolicy.h"
 #include "coordination/PlacementClient.h"
 #include "core/Random.h"
@@ -80,6 +81,8 @@
     void scheduleFlush();
     void flush();
     void applyColdLimits();
+    void logHosts();
+    void logHostNumber();
     void logColdServers();
     void sendToCoordinator(wire::Datagram& datagram);
     void configureCoordinator();
@@ -104,6 +107,7 @@
     net::Reactor& reactor;
     timeline::EventLog& events;
     std::string incarnation;
+    coordination::HostIdentity identity;
     std::string address;
     double processorShare;
     double linkMegabits;
@@ -132,7 +136,6 @@
     ReceivedState receivedState;
     TimePoint lastBeaconReceived {};
     std::uint64_t coordinatorTerm = 0;
-    std::uint64_t hostNumber = 0; //!< of this host, by the coordinator of the term; 0 when it is not known
     std::string coordinatorDataCentre; //!< empty when it is not known
     bool hasReceivedBeacon = false;
     std::vector<std::string> knownHosts; //!< addresses, which a standby gets in beacons
@@ -142,6 +145,8 @@
     bool runScheduled = false;
     TimePoint coldServersLoggedAt {};
     std::size_t loggedColdServers = 0;
+    std::uint64_t loggedHostNumber = 0;
+    std::uint64_t loggedHostNumberTerm = 0;
     TimePoint lastReportSent {};
     TimePoint lastBeaconSent {};
 };
