--- /dev/null
+++ b/libs/coordination/tests/RestartedHostTest.cpp
@@ -0,0 +1,175 @@
+#include "coordination/Coordinator.h"
+#include "coordination/HostIdentity.h"
+#include "coordination/PlacementClient.h"
+#include "core/ManualClock.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace sequoia;
+using namespace sequoia::coordination;
+
+namespace {
+
+constexpr std::uint64_t term = 1;
+const std::string hostAddress = "10.0.0.1:7000";
+
+//! One process of a host. Job numbers begin with 1 in each process.
+class Process final : public edge::PlacementObserver {
+public:
+    Process(const ManualClock& source, const std::string& incarnation, const fleet::ServerMap& servers)
+        : clock(source)
+        , identity(incarnation)
+        , placement(source, {}, [] {})
+    {
+        this->placement.setServers(servers);
+    }
+
+    void onPlaced(std::uint64_t job, const edge::PlacementTarget& target) override
+    {
+        this->placed[job] = target.server;
+    }
+    void onRefused(std::uint64_t job, const edge::PlacementRefusal&) override { this->refused.push_back(job); }
+
+    std::uint64_t submit(const std::string& service)
+    {
+        balance::Job job;
+        job.id.number = ++this->lastJob;
+        job.service = service;
+        job.target = this->clock.now() + std::chrono::seconds(1);
+        job.deadline = this->clock.now() + std::chrono::seconds(4);
+        this->placement.submit(job, *this);
+        return this->lastJob;
+    }
+
+    wire::Datagram takeDatagram()
+    {
+        wire::Datagram datagram;
+        this->placement.takeMessages(datagram);
+        datagram.mutable_report()->set_strength(1);
+        this->identity.sign(datagram, term, this->clock.now());
+        return datagram;
+    }
+
+    void receive(wire::Datagram datagram)
+    {
+        datagram.set_term(term);
+        this->identity.receive(datagram, this->clock.now());
+        if (this->identity.number() != 0)
+            this->placement.setHostNumber(this->identity.number());
+        this->placement.onCoordinatorContact(term);
+        this->placement.receive(datagram);
+    }
+
+    const ManualClock& clock;
+    HostIdentity identity;
+    PlacementClient placement;
+    std::uint64_t lastJob = 0;
+    std::map<std::uint64_t, std::string> placed;
+    std::vector<std::uint64_t> refused;
+};
+
+//! A coordinator, and a host whose processes follow each other at one address. Services "a" and "b" have a server each.
+class Fixture {
+public:
+    Fixture()
+    {
+        for (const char* service : { "a", "b" }) {
+            fleet::ServerEntry entry;
+            entry.instance = { std::string("server-") + service, 1 };
+            entry.service = service;
+            entry.address = "10.1.0.1:80";
+            entry.slots = 1;
+            this->servers[entry.instance.id] = entry;
+        }
+        this->coordinator.setServers(this->servers);
+        this->coordinator.start({});
+        this->restart("first");
+        this->exchange();
+        this->beacons();
+    }
+
+    void restart(const std::string& incarnation)
+    {
+        this->process = std::make_unique<Process>(this->clock, incarnation, this->servers);
+    }
+
+    //! Delivers the messages of the process, then those of the coordinator to the address.
+    void exchange()
+    {
+        this->coordinator.receive(this->process->takeDatagram(), hostAddress);
+        this->deliver(this->coordinator.takeReplies());
+    }
+
+    void beacons() { this->deliver(this->coordinator.makeBeacons({ "self", false, false, 0 })); }
+
+    void deliver(const std::vector<OutgoingDatagram>& messages)
+    {
+        for (const auto& message : messages) {
+            if (message.address == hostAddress)
+                this->process->receive(message.datagram);
+        }
+    }
+
+    ManualClock clock;
+    fleet::ServerMap servers;
+    Coordinator coordinator { this->clock, term, {}, {} };
+    std::unique_ptr<Process> process;
+};
+
+}
+
+// Guards against the incident ROUTE: the coordinator took a restarted process for its predecessor, which had had a job
+// of the same number, and repeated the placement of that job.
+TEST_CASE("a restarted process does not get the placement of its predecessor's job" * doctest::should_fail())
+{
+    Fixture fixture;
+    auto before = fixture.process->submit("a");
+    fixture.exchange();
+    REQUIRE(fixture.process->placed[before] == "server-a");
+
+    fixture.restart("second");
+    fixture.beacons();
+    fixture.exchange();
+    auto after = fixture.process->submit("b");
+    REQUIRE(after == before);
+    fixture.exchange();
+    CHECK(fixture.process->placed[after] == "server-b");
+}
+
+// Guards against decisions that are addressed to a host's address only, where another process runs by now.
+TEST_CASE("decisions on jobs of a predecessor do not reach a restarted process" * doctest::should_fail())
+{
+    Fixture fixture;
+    auto running = fixture.process->submit("a");
+    fixture.exchange();
+    auto queued = fixture.process->submit("a");
+    auto waiting = fixture.process->submit("a");
+    fixture.exchange();
+    REQUIRE(fixture.process->placed.size() == 1);
+    // The slots become free, and the time of the other job ends, after the process was killed.
+    wire::Datagram end;
+    fixture.process->placement.reportEnd(running, balance::JobResult::Answered, std::chrono::milliseconds(100));
+    fixture.coordinator.receive(fixture.process->takeDatagram(), hostAddress);
+    auto placements = fixture.coordinator.takeReplies();
+    REQUIRE_FALSE(placements.empty());
+    fixture.clock.advance(std::chrono::seconds(1));
+    fixture.coordinator.receive(fixture.process->takeDatagram(), hostAddress);
+    fixture.clock.advance(std::chrono::milliseconds(1400));
+    fixture.coordinator.receive(fixture.process->takeDatagram(), hostAddress);
+    fixture.clock.advance(std::chrono::milliseconds(1400));
+    fixture.coordinator.tick();
+    auto refusals = fixture.coordinator.takeReplies();
+
+    fixture.restart("second");
+    fixture.beacons();
+    for (std::uint64_t job = 0; job < waiting; ++job)
+        fixture.process->submit("b");
+    fixture.deliver(placements);
+    fixture.deliver(refusals);
+    CHECK(fixture.process->placed.count(queued) == 0);
+    CHECK(fixture.process->refused.empty());
+}
