Refuse a placement on a server that is listed under another service

Cause: a host used each placement as it came, so a wrong decision of a coordinator reached a server that runs whatever arrives.

Change: a guard in front of the connection, for decisions of the coordinator and of the host itself: a server that the host lists under another service than the job's is not used. The slot is freed and the host decides on its own. Each case is logged (placement_refused) and counted (sequoia_placements_refused_total).

Measured: the new test of coordination_tests fails without the guard (the job is placed on the other service's server) and passes with it.

--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -15,6 +15,15 @@
 
 namespace sequoia::coordination {
 
+//! A placement that was not used, since its server is listed under another service than the job's.
+struct Misplacement {
+    std::uint64_t job = 0;
+    std::string service; //!< of the job
+    std::string server;
+    std::string listedService; //!< of the server
+    std::uint64_t term = 0; //!< of the coordinator that decided; 0 if this host decided on its own
+};
+
 //! Requests the placement of jobs from the coordinator. While the coordinator does not respond, places jobs locally by
 //! the last known key plans.
 //!
@@ -72,6 +81,10 @@
     KeyPlanCache& plans() { return this->planCache; }
     std::size_t waitingJobs() const { return this->pendingJobs.size(); }
     bool usesCoordinator() const { return this->coordinatorActive; }
+    //! Number of placements that were not used for another service's server.
+    std::uint64_t misplacedJobs() const { return this->misplacedCount; }
+    //! Returns the latest of them since the last call, for the log.
+    std::vector<Misplacement> takeMisplacements();
 
 private:
     struct PendingJob {
@@ -92,6 +105,8 @@
     void resubmitAll();
     void onJobPlaced(
         std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator);
+    //! Returns whether the job was misplaced, and finds another decision for it then.
+    bool replaceMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator);
     bool mustDecline(const fleet::ServerInstance& server) const;
     bool isEvacuated(const std::string& server) const;
     bool isGone(const fleet::ServerInstance& server) const;
@@ -107,6 +122,9 @@
     void queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed,
         const std::optional<balance::ServerReport>& load = std::nullopt);
 
+    //! This host's number in its own scheduler.
+    static constexpr std::uint64_t localHost = 0;
+
     const Clock& clock;
     ScheduleSend scheduleSend;
     KeyPlanCache planCache;
@@ -131,6 +149,8 @@
     };
     std::map<std::uint64_t, PlacedJob> placedJobs;
     std::uint64_t term = 0;
+    std::uint64_t misplacedCount = 0;
+    std::vector<Misplacement> misplacements; //!< not logged yet
     bool mustSendLoads = false; //!< the coordinator does not know the jobs that run
     wire::Datagram outgoing;
     bool hasOutgoing = false;
--- /dev/null
+++ b/libs/coordination/src/PlacementChecks.cpp
@@ -0,0 +1,75 @@
+#include "coordination/PlacementClient.h"
+
+#include <utility>
+
+// The parts of PlacementClient that check decisions against what this host knows.
+
+namespace sequoia::coordination {
+
+namespace {
+
+constexpr std::size_t maxLoggedMisplacements = 8;
+constexpr Duration misplacedRetryAfter = std::chrono::milliseconds(300);
+
+}
+
+bool PlacementClient::isEvacuated(const std::string& server) const
+{
+    auto entry = this->listedServers.find(server);
+    return entry != this->listedServers.end() && this->evacuations.contains(entry->second.dataCentre);
+}
+
+bool PlacementClient::isGone(const fleet::ServerInstance& server) const
+{
+    if (!this->prefersOwnList)
+        return false;
+    auto entry = this->listedServers.find(server.id);
+    return entry == this->listedServers.end() || entry->second.instance.startMillis > server.startMillis;
+}
+
+// A server that belongs to another service would run the request. No correct decision names one.
+bool PlacementClient::replaceMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator)
+{
+    const auto& job = this->pendingJobs.at(number).job;
+    auto entry = this->listedServers.find(server.id);
+    if (entry == this->listedServers.end() || entry->second.instance != server || entry->second.service == job.service)
+        return false;
+    ++this->misplacedCount;
+    if (this->misplacements.size() < maxLoggedMisplacements)
+        this->misplacements.push_back(
+            { number, job.service, server.id, entry->second.service, byCoordinator ? this->term : 0 });
+    if (byCoordinator) {
+        this->queueJobEnd(number, balance::JobResult::Abandoned, {});
+        this->submitLocally(number);
+        return true;
+    }
+    this->applyDecisions(
+        this->scheduler.jobEnded({ localHost, number }, balance::JobResult::Abandoned, {}, this->clock.now()));
+    this->onJobRefused(number, balance::RefusalReason::NoServer, misplacedRetryAfter);
+    return true;
+}
+
+std::vector<Misplacement> PlacementClient::takeMisplacements()
+{
+    return std::exchange(this->misplacements, {});
+}
+
+// The coordinator may not know yet what a server has announced to this host, and its list may be older than this
+// host's.
+bool PlacementClient::mustDecline(const fleet::ServerInstance& server) const
+{
+    auto pause = this->pauses.find(server);
+    return this->leavingServers.contains(server) || (pause != this->pauses.end() && pause->second > this->clock.now());
+}
+
+void PlacementClient::declinePlacement(PendingJob& entry, const fleet::ServerInstance& server)
+{
+    *this->outgoing.add_notices() = this->noticeOf(server);
+    entry.declinedServer = server.id;
+    entry.acknowledged = false;
+    entry.resendCount = 0;
+    entry.firstSent = this->clock.now();
+    this->sendSubmit(entry);
+}
+
+}
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -28,8 +28,6 @@
 constexpr double localSlotShare = 0.3;
 // A job for a key whose owner is not known yet waits for this part of its time.
 constexpr int unknownOwnerWaitDivisor = 2;
-// This host's number in its own scheduler.
-constexpr std::uint64_t localHost = 0;
 constexpr std::int64_t maxReportedRoundTripMicros = 10'000'000;
 // Used until a beacon gives the number of hosts.
 constexpr std::uint32_t defaultHostCount = 10;
@@ -208,20 +206,6 @@
         this->applyServers();
 }
 
-bool PlacementClient::isEvacuated(const std::string& server) const
-{
-    auto entry = this->listedServers.find(server);
-    return entry != this->listedServers.end() && this->evacuations.contains(entry->second.dataCentre);
-}
-
-bool PlacementClient::isGone(const fleet::ServerInstance& server) const
-{
-    if (!this->prefersOwnList)
-        return false;
-    auto entry = this->listedServers.find(server.id);
-    return entry == this->listedServers.end() || entry->second.instance.startMillis > server.startMillis;
-}
-
 void PlacementClient::setHostCount(std::uint32_t hosts)
 {
     double factor = std::max(1.0, hosts / hostsWithMinTimeouts);
@@ -351,6 +335,8 @@
             this->queueJobEnd(number, balance::JobResult::Abandoned, {});
         return;
     }
+    if (this->replaceMisplacement(number, server, byCoordinator))
+        return;
     if (byCoordinator && (this->isEvacuated(server.id) || this->isGone(server))) {
         // The coordinator does not know it yet, and would place the job there again.
         this->queueJobEnd(number, balance::JobResult::Abandoned, {});
@@ -369,24 +355,6 @@
     observer->onPlaced(number, { server.id, address, this->placedJobs[number].term });
 }
 
-// The coordinator may not know yet what a server has announced to this host, and its list may be older than this
-// host's.
-bool PlacementClient::mustDecline(const fleet::ServerInstance& server) const
-{
-    auto pause = this->pauses.find(server);
-    return this->leavingServers.contains(server) || (pause != this->pauses.end() && pause->second > this->clock.now());
-}
-
-void PlacementClient::declinePlacement(PendingJob& entry, const fleet::ServerInstance& server)
-{
-    *this->outgoing.add_notices() = this->noticeOf(server);
-    entry.declinedServer = server.id;
-    entry.acknowledged = false;
-    entry.resendCount = 0;
-    entry.firstSent = this->clock.now();
-    this->sendSubmit(entry);
-}
-
 fleet::ServerInstance PlacementClient::instanceOf(const std::string& server) const
 {
     auto entry = this->servers.find(server);
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -220,6 +220,38 @@
     CHECK(fixture.observer.placed.size() == 2);
 }
 
+// Guards against requests that are run by another service's server because of a wrong decision.
+TEST_CASE("a placement on a server of another service is not used, and its slot is freed")
+{
+    CoordinationFixture fixture(1);
+    auto listed = servers(1);
+    auto other = listed["s0"];
+    other.instance.id = "other";
+    other.service = "another service";
+    listed["other"] = other;
+    fixture.host.setServers(listed);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator(true);
+    wire::Datagram wrong;
+    auto* placement = wrong.add_placements();
+    placement->set_job(job);
+    placement->set_server("other");
+    placement->set_address(other.address);
+    placement->set_born_ms(other.instance.startMillis);
+    fixture.host.receive(wrong);
+    CHECK(fixture.observer.placed[job].server == "s0");
+    CHECK(fixture.host.misplacedJobs() == 1);
+    auto logged = fixture.host.takeMisplacements();
+    REQUIRE(logged.size() == 1);
+    CHECK(logged.front().server == "other");
+    CHECK(logged.front().listedService == "another service");
+    wire::Datagram datagram;
+    REQUIRE(fixture.host.takeMessages(datagram));
+    REQUIRE(datagram.ends_size() == 1);
+    CHECK(datagram.ends(0).job() == job);
+    CHECK(datagram.ends(0).result() == static_cast<std::uint32_t>(balance::JobResult::Abandoned));
+}
+
 // Guards against callers that wait until their deadline because their job is queued at a former coordinator.
 TEST_CASE("a job that waits at a coordinator is resubmitted to its successor")
 {
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -145,6 +145,15 @@
                 { "address", event.address }, { "term", std::to_string(this->coordinator->term()) } });
 }
 
+void CoordinationTask::logMisplacements()
+{
+    for (const auto& misplacement : this->placement->takeMisplacements())
+        this->events.record(timeline::Severity::Error, "placement_refused",
+            { { "job", std::to_string(misplacement.job) }, { "service", misplacement.service },
+                { "server", misplacement.server }, { "listed_service", misplacement.listedService },
+                { "term", std::to_string(misplacement.term) }, { "reason", "the server belongs to another service" } });
+}
+
 void CoordinationTask::setServers(const fleet::ServerMap& listedServers)
 {
     this->servers = listedServers;
@@ -379,6 +388,7 @@
         this->sendReport();
     }
     this->placement->tick();
+    this->logMisplacements();
     this->runCoordinator();
     this->flush();
     this->scheduleTick();
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -63,6 +63,7 @@
 
     const coordination::FleetTraffic& traffic() const { return this->sender.traffic(); }
     std::uint64_t refusedDatagrams() const { return this->sender.refusedCount(); }
+    std::uint64_t misplacedJobs() const { return this->placement->misplacedJobs(); }
     std::uint64_t misdirectedDatagrams() const { return this->identity.misdirectedDatagrams(); }
     std::size_t waitingJobs() const { return this->placement->waitingJobs(); }
     bool usesCoordinator() const { return this->placement->usesCoordinator(); }
@@ -84,6 +85,7 @@
     void applyColdLimits();
     void logHosts();
     void logHostNumber();
+    void logMisplacements();
     void logColdServers();
     void sendToCoordinator(wire::Datagram& datagram);
     void configureCoordinator();
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -234,6 +234,9 @@
     add("sequoia_datagrams_misdirected_total", "counter",
         "Datagrams of the coordinator for an earlier process at this host's address.",
         count(this->coordination->misdirectedDatagrams()));
+    add("sequoia_placements_refused_total", "counter",
+        "Placements on servers of another service than the request's, which were not used.",
+        count(this->coordination->misplacedJobs()));
     add("sequoia_load_reports_invalid_total", "counter", "Load that servers stated and that was ignored or bounded.",
         count(counters.invalidLoadReports));
     add("sequoia_coordinator_term", "gauge", "Term of this host's tenure as coordinator; 0 when it has none.",
