Soak: a mix in which hosts end in series and are back at once

Its hosts come back after 0.2 to 1.2 s, and kills are one fault of 22.

Kills, stops and pauses of hosts every 0.2 to 0.7 s, sometimes of all at once, while servers are slow; hosts are back 20 to 300 ms after their end.

--- a/tests/soak/src/FaultSchedule.cpp
+++ b/tests/soak/src/FaultSchedule.cpp
@@ -1,12 +1,18 @@
 #include "FaultSchedule.h"
 
 #include <csignal>
+#include <iterator>
 
 namespace sequoia::soak {
 
 namespace {
 
 constexpr std::size_t plannedKinds = 5;
+// Mostly kills, so that processes at the same address follow each other within the deadlines of their callers.
+constexpr FaultKind restartKinds[] = { FaultKind::HostKilled, FaultKind::HostKilled, FaultKind::HostKilled,
+    FaultKind::HostKilled, FaultKind::HostKilled, FaultKind::HostKilled, FaultKind::HostStops, FaultKind::HostPaused,
+    FaultKind::AllHostsKilled, FaultKind::ServerSlow };
+constexpr std::int64_t longestRestartGapMillis = 700;
 // Faults follow each other closely enough to overlap, and planned work seldom enough to end.
 constexpr std::int64_t shortestGapMillis = 200;
 constexpr std::int64_t longestGapMillis = 1800;
@@ -20,12 +26,12 @@
 }
 
 FaultSchedule::FaultSchedule(
-    net::Reactor& owner, Fleet& target, Oracle& promises, std::uint64_t seed, bool planned, Log callback)
+    net::Reactor& owner, Fleet& target, Oracle& promises, std::uint64_t seed, FaultMix chosenMix, Log callback)
     : reactor(owner)
     , fleet(target)
     , oracle(promises)
     , random(seed)
-    , plannedOnly(planned)
+    , mix(chosenMix)
     , log(std::move(callback))
 {
 }
@@ -45,10 +51,17 @@
 {
     if (!this->running)
         return;
-    auto kinds = this->plannedOnly ? plannedKinds : faultKindNames.size();
+    if (this->mix == FaultMix::Restarts) {
+        this->carryOut(restartKinds[this->random() % std::size(restartKinds)]);
+        this->reactor.scheduleAfter(
+            this->drawTime(shortestGapMillis, longestRestartGapMillis), [this] { this->next(); });
+        return;
+    }
+    bool isPlanned = this->mix == FaultMix::Planned;
+    auto kinds = isPlanned ? plannedKinds : faultKindNames.size();
     this->carryOut(faultKindNames[this->random() % kinds].first);
     auto gap = this->drawTime(shortestGapMillis, longestGapMillis);
-    this->reactor.scheduleAfter(this->plannedOnly ? gap + fromMillis(plannedGapMillis) : gap, [this] { this->next(); });
+    this->reactor.scheduleAfter(isPlanned ? gap + fromMillis(plannedGapMillis) : gap, [this] { this->next(); });
 }
 
 void FaultSchedule::after(Duration time, std::function<void()> undo)
--- a/tests/soak/src/FaultSchedule.h
+++ b/tests/soak/src/FaultSchedule.h
@@ -57,12 +57,25 @@
     { FaultKind::ServerLink, "server-link" },
 } };
 
+//! Which faults a run draws from.
+enum class FaultMix {
+    All,
+    Planned,
+    Restarts, //!< processes of hosts end and are back at once, while servers are slow
+};
+
+inline constexpr EnumTable<FaultMix, 3> faultMixNames { {
+    { FaultMix::All, "all" },
+    { FaultMix::Planned, "planned" },
+    { FaultMix::Restarts, "restarts" },
+} };
+
 //! Draws faults from a seed and carries them out, in series and overlapping, until it is stopped.
 class FaultSchedule {
 public:
     using Log = std::function<void(const std::string& line)>;
 
-    FaultSchedule(net::Reactor& reactor, Fleet& fleet, Oracle& oracle, std::uint64_t seed, bool plannedOnly, Log log);
+    FaultSchedule(net::Reactor& reactor, Fleet& fleet, Oracle& oracle, std::uint64_t seed, FaultMix mix, Log log);
 
     void start();
     //! No new faults, and the end of all that last.
@@ -85,7 +98,7 @@
     Fleet& fleet;
     Oracle& oracle;
     RandomEngine random;
-    bool plannedOnly;
+    FaultMix mix;
     Log log;
     bool running = false;
     std::size_t faultCount = 0;
--- a/tests/soak/src/Fleet.cpp
+++ b/tests/soak/src/Fleet.cpp
@@ -267,7 +267,8 @@
     host.terminating = false;
     if (this->ending)
         return;
-    std::uniform_int_distribution<std::int64_t> pause(200, 1200);
+    std::uniform_int_distribution<std::int64_t> pause(
+        toMillis(this->options.shortestRestartPause), toMillis(this->options.longestRestartPause));
     this->reactor.scheduleAfter(fromMillis(pause(this->random)), [this, &host] {
         if (this->ending || host.process->isRunning())
             return;
--- a/tests/soak/src/Fleet.h
+++ b/tests/soak/src/Fleet.h
@@ -19,6 +19,9 @@
     std::string directory; //!< for settings and logs
     std::uint64_t seed = 1;
     unsigned hosts = 5;
+    //! From the end of a host's process to its next start.
+    Duration shortestRestartPause = std::chrono::milliseconds(200);
+    Duration longestRestartPause = std::chrono::milliseconds(1200);
     unsigned subnet = 1; //!< hosts listen at 127.SUBNET.HOST.1, so that runs do not meet
 };
 
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -10,7 +10,10 @@
 DEFINE_uint64(seed, 0, "seed of the faults and of the load; 0 draws one");
 DEFINE_int32(seconds, 30, "time with faults, 5 to 3600; about 25 seconds are added at start and end");
 DEFINE_uint32(hosts, 5, "hosts, 2 to 50");
-DEFINE_string(mix, "all", "faults: all, or planned (stops, reloads, drains and changes of the configuration only)");
+DEFINE_string(mix, "all",
+    "faults: all, planned (stops, reloads, drains and changes of the configuration only), or restarts (hosts end in "
+    "series "
+    "and are back at once)");
 DEFINE_string(node, "build/bin/sequoia-node", "the program of the hosts");
 DEFINE_string(directory, "", "folder for settings and logs; a temporary one by default, removed after a clean run");
 
@@ -27,21 +30,35 @@
 // Part of the requests that is served when nothing is wrong any more; the backend servers have room for all.
 constexpr double leastServed = 0.95;
 
+soak::FleetOptions makeFleetOptions(std::uint64_t seed, soak::FaultMix mix, std::string folder)
+{
+    soak::FleetOptions options;
+    options.node = FLAGS_node;
+    options.directory = std::move(folder);
+    options.seed = seed;
+    options.hosts = FLAGS_hosts;
+    options.subnet = static_cast<unsigned>(10 + getpid() % 200);
+    if (mix == soak::FaultMix::Restarts) {
+        options.shortestRestartPause = std::chrono::milliseconds(20);
+        options.longestRestartPause = std::chrono::milliseconds(300);
+    }
+    return options;
+}
+
 //! One run from its start to its verdict.
 class Run {
 public:
-    Run(std::uint64_t chosenSeed, std::string folder)
+    Run(std::uint64_t chosenSeed, soak::FaultMix mix, std::string folder)
         : seed(chosenSeed)
-        , fleet(this->reactor,
-              { FLAGS_node, std::move(folder), chosenSeed, FLAGS_hosts, static_cast<unsigned>(10 + getpid() % 200) },
-              this->oracle, [this](const auto& promise, const auto& details) { this->violated(promise, details); })
+        , fleet(this->reactor, makeFleetOptions(chosenSeed, mix, std::move(folder)), this->oracle,
+              [this](const auto& promise, const auto& details) { this->violated(promise, details); })
         , callers(
               this->reactor, this->fleet, this->oracle,
               [this](const auto& promise, const auto& details) { this->violated(promise, details); }, chosenSeed + 1)
-        , schedule(this->reactor, this->fleet, this->oracle, chosenSeed + 2, FLAGS_mix == "planned",
+        , schedule(this->reactor, this->fleet, this->oracle, chosenSeed + 2, mix,
               [this](const std::string& line) { this->print(line); })
     {
-        if (FLAGS_mix == "planned")
+        if (mix == soak::FaultMix::Planned)
             this->callers.requireAnswers();
     }
 
@@ -118,9 +135,9 @@
 {
     gflags::SetUsageMessage("plays random faults on real sequoia-node processes and checks the promises");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_seconds < 5 || FLAGS_seconds > 3600 || FLAGS_hosts < 2 || FLAGS_hosts > 50
-        || (FLAGS_mix != "all" && FLAGS_mix != "planned")) {
-        std::fprintf(stderr, "--seconds is 5 to 3600, --hosts 2 to 50, --mix all or planned\n");
+    auto mix = valueNamed(soak::faultMixNames, FLAGS_mix);
+    if (!mix || FLAGS_seconds < 5 || FLAGS_seconds > 3600 || FLAGS_hosts < 2 || FLAGS_hosts > 50) {
+        std::fprintf(stderr, "--seconds is 5 to 3600, --hosts 2 to 50, --mix all, planned or restarts\n");
         return 2;
     }
     setvbuf(stdout, nullptr, _IOLBF, 0);
@@ -129,7 +146,7 @@
     auto folder = temporary ? std::filesystem::temp_directory_path() / ("sequoia-soak-" + std::to_string(getpid()))
                             : std::filesystem::path(FLAGS_directory);
     std::filesystem::create_directories(folder);
-    int code = Run(seed, folder.string()).execute();
+    int code = Run(seed, *mix, folder.string()).execute();
     if (code == 0 && temporary)
         std::filesystem::remove_all(folder);
     else
