Ignore ends and withdrawals of jobs that were sent in an earlier term

A job keeps its number when it is submitted again to the coordinator of the next term. A withdrawal or an end for the earlier term that arrives late, at an address where the same or a restarted process coordinates now, was applied to the new submission: the job is dropped while its host waits, or its slot counts as free.

Change: the coordinator applies ends and withdrawals of its own term only. The coordinator's own host hands over its messages without a term.

Measured: the new test of coordination_tests fails without the change for both messages, and passes with it.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -145,6 +145,8 @@
     Host& findOrAddHost(const std::string& incarnation, const std::string& address);
     void applyReport(Host& host, const wire::Report& report);
     void submitJob(Host& host, const wire::Submit& message);
+    //! Processes the ends and withdrawals of jobs of this term.
+    void endJobs(const Host& host, const wire::Datagram& datagram);
     void applyNotice(const Host& host, const wire::ServerNotice& notice);
     void addLeavingServer(const fleet::ServerInstance& instance);
     void applyServers();
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -237,7 +237,6 @@
 {
     if (!this->started)
         return;
-    auto now = this->clock.now();
     auto* sender = this->senderOf(datagram, address);
     if (!sender)
         return;
@@ -249,6 +248,16 @@
         this->setUnmanagedJobs(host, inFlightByServer(datagram.unmanaged_loads().loads()));
     for (const auto& notice : datagram.notices())
         this->applyNotice(host, notice);
+    // A job keeps its number in the next term, so what was said of it under an earlier one does not hold.
+    if (datagram.term() == 0 || datagram.term() == this->currentTerm)
+        this->endJobs(host, datagram);
+    for (const auto& message : datagram.submits())
+        this->submitJob(host, message);
+}
+
+void Coordinator::endJobs(const Host& host, const wire::Datagram& datagram)
+{
+    auto now = this->clock.now();
     for (const auto& end : datagram.ends()) {
         auto elapsed = std::min<std::uint64_t>(end.elapsed_us(), static_cast<std::uint64_t>(maxJobTime.count()));
         if (auto result = jobResultOf(end.result()))
@@ -260,8 +269,6 @@
         this->scheduler.withdraw(id);
         this->addDecisions(this->scheduler.jobEnded(id, balance::JobResult::Abandoned, {}, now));
     }
-    for (const auto& message : datagram.submits())
-        this->submitJob(host, message);
 }
 
 void Coordinator::applyNotice(const Host& host, const wire::ServerNotice& notice)
--- a/libs/coordination/tests/RestartedHostTest.cpp
+++ b/libs/coordination/tests/RestartedHostTest.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::uint64_t term = 1;
+constexpr std::uint64_t term = 2;
 const std::string hostAddress = "10.0.0.1:7000";
 
 //! One process of a host. Job numbers begin with 1 in each process.
@@ -275,3 +275,28 @@
     REQUIRE(report.replaced_hosts_size() == 1);
     CHECK(report.replaced_hosts(0) == 7);
 }
+
+// Guards against a job that is dropped because a withdrawal for the coordinator of an earlier term, which had the same
+// address, arrives late.
+TEST_CASE("an end or a withdrawal of an earlier term does not touch the job that was submitted again")
+{
+    Fixture fixture;
+    auto running = fixture.process->submit("a");
+    auto waiting = fixture.process->submit("a");
+    fixture.exchange();
+    REQUIRE(fixture.coordinator.waitingJobs() == 1);
+    for (bool isWithdrawal : { true, false }) {
+        CAPTURE(isWithdrawal);
+        wire::Datagram late;
+        late.set_sender("first");
+        late.set_term(term - 1);
+        if (isWithdrawal)
+            late.add_withdrawals()->set_job(waiting);
+        else {
+            late.add_ends()->set_job(running);
+            late.mutable_ends(0)->set_result(static_cast<std::uint32_t>(balance::JobResult::Abandoned));
+        }
+        fixture.coordinator.receive(late, hostAddress);
+        CHECK(fixture.coordinator.waitingJobs() == 1);
+    }
+}
