--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -287,7 +287,9 @@
 
 void CoordinationTask::logHostNumber()
 {
-    if (this->identity.number() == this->loggedHostNumber && this->coordinatorTerm == this->loggedHostNumberTerm)
+    bool isLogged
+        = this->identity.number() == this->loggedHostNumber && this->coordinatorTerm == this->loggedHostNumberTerm;
+    if (this->identity.number() == 0 || isLogged)
         return;
     this->loggedHostNumber = this->identity.number();
     this->loggedHostNumberTerm = this->coordinatorTerm;
