Free the slot of a refused local placement with the next tick

Cause (review): the guard freed the slot of a refused local placement at once, and the decision on the next waiting job was made, and refused, inside the one before it. It needs a server that is listed under another service while the host's copy of the owners still names it.

Change: such slots are freed with the next tick, so that a tick refuses as many jobs as the host has slots.

--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -151,6 +151,7 @@
     std::uint64_t term = 0;
     std::uint64_t misplacedCount = 0;
     std::vector<Misplacement> misplacements; //!< not logged yet
+    std::vector<std::uint64_t> misplacedLocally; //!< jobs whose slots in this host's scheduler are not free yet
     bool mustSendLoads = false; //!< the coordinator does not know the jobs that run
     wire::Datagram outgoing;
     bool hasOutgoing = false;
--- a/libs/coordination/src/PlacementChecks.cpp
+++ b/libs/coordination/src/PlacementChecks.cpp
@@ -43,8 +43,8 @@
         this->submitLocally(number);
         return true;
     }
-    this->applyDecisions(
-        this->scheduler.jobEnded({ localHost, number }, balance::JobResult::Abandoned, {}, this->clock.now()));
+    // The next decision for the slot might be refused, too, so the slot is freed with the next tick.
+    this->misplacedLocally.push_back(number);
     this->onJobRefused(number, balance::RefusalReason::NoServer, misplacedRetryAfter);
     return true;
 }
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -395,6 +395,8 @@
     std::erase_if(this->pauses, [now](const auto& entry) { return entry.second <= now; });
     if (this->coordinatorActive && now - this->lastCoordinatorContact > coordinatorTimeout)
         this->onCoordinatorLost();
+    for (auto number : std::exchange(this->misplacedLocally, {}))
+        this->applyDecisions(this->scheduler.jobEnded({ localHost, number }, balance::JobResult::Abandoned, {}, now));
     this->applyDecisions(this->scheduler.tick(now));
     std::vector<std::uint64_t> unanswered;
     for (auto& [number, entry] : this->pendingJobs) {
