Take a host's number after the term that gave it

Cause (review): a host set its number before it told its placement client of the new term, which drops the number. The step stood in CoordinationTask, which no test builds, and in a copy in each test.

Change: PlacementClient::receive() takes the verdict on the receiver and the number, after the term; product and tests call the same function. A beacon for another process leaves this one's rank as a standby as it is, instead of clearing it. The tests share TestProcess. The series of restarts ends with jobs on a network without faults, which the coordinator has to place: before, it passed even when a process ignored everything that was for it.

With own datagrams taken for another process's, the series fails (120 checks).

--- a/libs/coordination/include/coordination/HostIdentity.h
+++ b/libs/coordination/include/coordination/HostIdentity.h
@@ -25,10 +25,10 @@
     explicit HostIdentity(std::string incarnation);
 
     //! Decides whom a datagram of a coordinator of this or a later term is for, and learns the number of this process.
-    Addressee receive(const wire::Datagram& datagram, TimePoint now);
+    Addressee identifyReceiver(const wire::Datagram& datagram, TimePoint now);
     //! Names this process as the sender of a datagram to the coordinator of the term, and the processes that it has
     //! replaced.
-    void sign(wire::Datagram& datagram, std::uint64_t term, TimePoint now);
+    void setSender(wire::Datagram& datagram, std::uint64_t term, TimePoint now);
 
     //! This process's number in the term; 0 while it is not known.
     std::uint64_t number() const { return this->hostNumber; }
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/Scheduler.h"
+#include "coordination/HostIdentity.h"
 #include "coordination/KeyPlanCache.h"
 #include "coordination/RoundTripTime.h"
 #include "edge/Placer.h"
@@ -66,7 +67,10 @@
     //! forgotten the jobs of this host.
     void setHostNumber(std::uint64_t number);
     void onCoordinatorLost();
-    //! Processes the placements, refusals and acknowledgements in a datagram of the coordinator.
+    //! Processes the placements, refusals and acknowledgements in a datagram of the coordinator, unless they are for
+    //! another process. `number` is this host's number. Called after onCoordinatorContact() for the datagram's term.
+    void receive(const wire::Datagram& datagram, Addressee addressee, std::uint64_t number);
+    //! Processes them without a look at whom they are for.
     void receive(const wire::Datagram& datagram);
     void tick();
 
--- a/libs/coordination/src/HostIdentity.cpp
+++ b/libs/coordination/src/HostIdentity.cpp
@@ -27,7 +27,7 @@
 {
 }
 
-Addressee HostIdentity::receive(const wire::Datagram& datagram, TimePoint now)
+Addressee HostIdentity::identifyReceiver(const wire::Datagram& datagram, TimePoint now)
 {
     if (datagram.term() != this->currentTerm) {
         this->currentTerm = datagram.term();
@@ -51,7 +51,7 @@
     return Addressee::OtherProcess;
 }
 
-void HostIdentity::sign(wire::Datagram& datagram, std::uint64_t term, TimePoint now)
+void HostIdentity::setSender(wire::Datagram& datagram, std::uint64_t term, TimePoint now)
 {
     datagram.set_term(term);
     bool isCurrentTerm = term == this->currentTerm;
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -308,6 +308,15 @@
         this->roundTripTime.record(now - entry.firstSent, now);
 }
 
+void PlacementClient::receive(const wire::Datagram& datagram, Addressee addressee, std::uint64_t number)
+{
+    if (addressee == Addressee::OtherProcess)
+        return;
+    if (addressee == Addressee::ThisProcess)
+        this->setHostNumber(number);
+    this->receive(datagram);
+}
+
 void PlacementClient::receive(const wire::Datagram& datagram)
 {
     for (const auto& message : datagram.queued()) {
--- a/libs/coordination/tests/FleetBytesTest.cpp
+++ b/libs/coordination/tests/FleetBytesTest.cpp
@@ -61,7 +61,7 @@
 
     void sendToCoordinator(Host& host, wire::Datagram datagram)
     {
-        host.identity.sign(datagram, 1, this->clock.now());
+        host.identity.setSender(datagram, 1, this->clock.now());
         this->traffic.add(datagram, TrafficScope::Unknown);
         this->coordinator.receive(datagram, host.address());
     }
@@ -72,7 +72,7 @@
             message.datagram.set_term(1);
             this->traffic.add(message.datagram, TrafficScope::Unknown);
             auto& host = *this->hosts[static_cast<std::size_t>(std::stoul(message.address.substr(9))) - 1];
-            host.identity.receive(message.datagram, this->clock.now());
+            host.identity.identifyReceiver(message.datagram, this->clock.now());
             host.replica.apply(message.datagram);
             host.placement.receive(message.datagram);
         }
--- a/libs/coordination/tests/RestartSeriesTest.cpp
+++ b/libs/coordination/tests/RestartSeriesTest.cpp
@@ -1,7 +1,4 @@
-#include "coordination/Coordinator.h"
-#include "coordination/HostIdentity.h"
-#include "coordination/PlacementClient.h"
-#include "core/ManualClock.h"
+#include "TestProcess.h"
 #include "core/Random.h"
 
 #include <deque>
@@ -18,41 +15,36 @@
 
 constexpr Duration step = std::chrono::milliseconds(10);
 constexpr unsigned services = 4;
+constexpr Duration serviceTime = std::chrono::milliseconds(150);
+constexpr Duration jobTime = std::chrono::seconds(2);
 
 std::string addressOf(std::size_t index)
 {
     return "10.0.0.1:" + std::to_string(index);
 }
 
-//! A process of a host, which checks that each job gets a server of its own service.
-class Process final : public edge::PlacementObserver {
+//! A process that checks that each job gets a server of its own service.
+class Process final : public TestProcess {
 public:
-    Process(const ManualClock& source, const fleet::ServerMap& servers, std::string incarnation)
-        : clock(source)
-        , identity(std::move(incarnation))
-        , placement(source, {}, [] {})
-    {
-        this->placement.setServers(servers);
-    }
+    using TestProcess::TestProcess;
 
     void onPlaced(std::uint64_t job, const edge::PlacementTarget& target) override
     {
         CHECK(target.server == "server-" + this->serviceOf.at(job));
         this->serviceOf.erase(job);
         this->running[job] = this->clock.now();
+        this->placedByCoordinator += target.term == this->term ? 1 : 0;
+    }
+    void onRefused(std::uint64_t job, const edge::PlacementRefusal&) override
+    {
+        CHECK(this->serviceOf.erase(job) == 1);
     }
-    void onRefused(std::uint64_t job, const edge::PlacementRefusal&) override { this->serviceOf.erase(job); }
 
-    void submit(const std::string& service)
+    void submitJob(const std::string& service)
     {
-        balance::Job job;
-        job.id.number = ++this->lastJob;
-        job.service = service;
-        job.target = this->clock.now() + std::chrono::milliseconds(600);
-        job.deadline = this->clock.now() + std::chrono::seconds(2);
-        this->serviceOf[job.id.number] = service;
-        this->deadlines.emplace_back(job.deadline, job.id.number);
-        this->placement.submit(job, *this);
+        this->serviceOf[this->lastJob + 1] = service;
+        this->deadlines.emplace_back(this->clock.now() + jobTime, this->lastJob + 1);
+        this->submit(service, jobTime / 3, jobTime);
     }
 
     //! As the caller's request does.
@@ -69,36 +61,19 @@
     void endJobs()
     {
         for (auto job = this->running.begin(); job != this->running.end();) {
-            if (this->clock.now() - job->second < std::chrono::milliseconds(150)) {
+            if (this->clock.now() - job->second < serviceTime) {
                 ++job;
                 continue;
             }
-            this->placement.reportEnd(job->first, balance::JobResult::Answered, std::chrono::milliseconds(150));
+            this->placement.reportEnd(job->first, balance::JobResult::Answered, serviceTime);
             job = this->running.erase(job);
         }
     }
 
-    void receive(const wire::Datagram& datagram)
-    {
-        if (datagram.term() < this->term)
-            return;
-        this->term = datagram.term();
-        auto addressee = this->identity.receive(datagram, this->clock.now());
-        if (addressee == Addressee::ThisProcess)
-            this->placement.setHostNumber(this->identity.number());
-        this->placement.onCoordinatorContact(this->term);
-        if (addressee != Addressee::OtherProcess)
-            this->placement.receive(datagram);
-    }
-
-    const ManualClock& clock;
-    HostIdentity identity;
-    PlacementClient placement;
-    std::uint64_t term = 0;
-    std::uint64_t lastJob = 0;
     std::map<std::uint64_t, std::string> serviceOf; //!< of jobs without a decision
     std::map<std::uint64_t, TimePoint> running;
     std::deque<std::pair<TimePoint, std::uint64_t>> deadlines;
+    unsigned placedByCoordinator = 0;
 };
 
 //! Three hosts and a coordinator, over a network that loses, repeats, delays and reorders datagrams.
@@ -123,7 +98,7 @@
     void restart(std::size_t index)
     {
         this->processes[index]
-            = std::make_unique<Process>(this->clock, this->servers, "process " + std::to_string(++this->lastProcess));
+            = std::make_unique<Process>(this->clock, "process " + std::to_string(++this->lastProcess), this->servers);
     }
 
     void replaceCoordinator()
@@ -135,12 +110,13 @@
     }
 
     bool chance(unsigned percent) { return this->random() % 100 < percent; }
+    bool fails(unsigned percent) { return this->lossyNetwork && this->chance(percent); }
 
     void send(const std::string& receiver, const std::string& sender, wire::Datagram datagram)
     {
-        for (int copy = this->chance(10) ? 2 : 1; copy > 0; --copy) {
-            auto delay = fromMillis(static_cast<std::int64_t>(this->chance(15) ? this->random() % 800 : 1));
-            if (!this->chance(5))
+        for (int copy = this->fails(10) ? 2 : 1; copy > 0; --copy) {
+            auto delay = fromMillis(static_cast<std::int64_t>(this->fails(15) ? this->random() % 800 : 1));
+            if (!this->fails(5))
                 this->network.emplace(this->clock.now() + delay, Message { receiver, sender, datagram });
         }
     }
@@ -176,7 +152,7 @@
             bool isRound = ++this->steps % 15 == 0;
             for (auto& [index, process] : this->processes) {
                 if (disturbed && this->chance(30))
-                    process->submit(std::to_string(this->random() % services));
+                    process->submitJob(std::to_string(this->random() % services));
                 process->endJobs();
                 process->withdrawOverdueJobs();
                 process->placement.tick();
@@ -185,7 +161,7 @@
                     continue;
                 if (isRound)
                     process->placement.fillReport(*datagram.mutable_report());
-                process->identity.sign(datagram, process->term, this->clock.now());
+                process->identity.setSender(datagram, process->term, this->clock.now());
                 this->send("", addressOf(index), std::move(datagram));
             }
             this->coordinator->tick();
@@ -212,6 +188,7 @@
     std::multimap<TimePoint, Message> network;
     std::uint64_t lastProcess = 0;
     unsigned steps = 0;
+    bool lossyNetwork = true;
 };
 
 }
@@ -225,12 +202,19 @@
         Fleet fleet(seed);
         fleet.run(std::chrono::seconds(10), true);
         fleet.run(std::chrono::seconds(5), false);
+        fleet.lossyNetwork = false;
         CHECK(fleet.coordinator->hostCount() == fleet.processes.size());
         CHECK(fleet.coordinator->waitingJobs() == 0);
         for (auto& [index, process] : fleet.processes) {
             CHECK(process->serviceOf.empty());
             CHECK(process->placement.waitingJobs() == 0);
             CHECK(process->placement.misplacedJobs() == 0);
+            process->placedByCoordinator = 0;
+            process->submitJob("0");
+            process->submitJob("1");
         }
+        fleet.run(std::chrono::seconds(2), false);
+        for (auto& [index, process] : fleet.processes)
+            CHECK(process->placedByCoordinator == 2);
     }
 }
--- a/libs/coordination/tests/RestartedHostTest.cpp
+++ b/libs/coordination/tests/RestartedHostTest.cpp
@@ -1,7 +1,4 @@
-#include "coordination/Coordinator.h"
-#include "coordination/HostIdentity.h"
-#include "coordination/PlacementClient.h"
-#include "core/ManualClock.h"
+#include "TestProcess.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -17,62 +14,6 @@
 constexpr std::uint64_t term = 2;
 const std::string hostAddress = "10.0.0.1:7000";
 
-//! One process of a host. Job numbers begin with 1 in each process.
-class Process final : public edge::PlacementObserver {
-public:
-    Process(const ManualClock& source, const std::string& incarnation, const fleet::ServerMap& servers)
-        : clock(source)
-        , identity(incarnation)
-        , placement(source, {}, [] {})
-    {
-        this->placement.setServers(servers);
-    }
-
-    void onPlaced(std::uint64_t job, const edge::PlacementTarget& target) override
-    {
-        this->placed[job] = target.server;
-    }
-    void onRefused(std::uint64_t job, const edge::PlacementRefusal&) override { this->refused.push_back(job); }
-
-    std::uint64_t submit(const std::string& service)
-    {
-        balance::Job job;
-        job.id.number = ++this->lastJob;
-        job.service = service;
-        job.target = this->clock.now() + std::chrono::seconds(1);
-        job.deadline = this->clock.now() + std::chrono::seconds(4);
-        this->placement.submit(job, *this);
-        return this->lastJob;
-    }
-
-    wire::Datagram takeDatagram()
-    {
-        wire::Datagram datagram;
-        this->placement.takeMessages(datagram);
-        datagram.mutable_report()->set_strength(1);
-        this->identity.sign(datagram, term, this->clock.now());
-        return datagram;
-    }
-
-    void receive(wire::Datagram datagram)
-    {
-        datagram.set_term(term);
-        auto addressee = this->identity.receive(datagram, this->clock.now());
-        if (addressee == Addressee::ThisProcess)
-            this->placement.setHostNumber(this->identity.number());
-        this->placement.onCoordinatorContact(term);
-        if (addressee != Addressee::OtherProcess)
-            this->placement.receive(datagram);
-    }
-
-    const ManualClock& clock;
-    HostIdentity identity;
-    PlacementClient placement;
-    std::uint64_t lastJob = 0;
-    std::map<std::uint64_t, std::string> placed;
-    std::vector<std::uint64_t> refused;
-};
-
 //! A coordinator, and a host whose processes follow each other at one address. Services "a" and "b" have a server each.
 class Fixture {
 public:
@@ -95,7 +36,7 @@
 
     void restart(const std::string& incarnation)
     {
-        this->process = std::make_unique<Process>(this->clock, incarnation, this->servers);
+        this->process = std::make_unique<TestProcess>(this->clock, incarnation, this->servers);
     }
 
     //! Delivers the messages of the process, then those of the coordinator to the address.
@@ -107,18 +48,12 @@
 
     void beacons() { this->deliver(this->coordinator.makeBeacons({ "self", false, false, 0 })); }
 
-    void deliver(const std::vector<OutgoingDatagram>& messages)
-    {
-        for (const auto& message : messages) {
-            if (message.address == hostAddress)
-                this->process->receive(message.datagram);
-        }
-    }
+    void deliver(const std::vector<OutgoingDatagram>& messages) { this->process->receive(messages, hostAddress, term); }
 
     ManualClock clock;
     fleet::ServerMap servers;
     Coordinator coordinator { this->clock, term, {}, {} };
-    std::unique_ptr<Process> process;
+    std::unique_ptr<TestProcess> process;
 };
 
 }
@@ -130,7 +65,7 @@
     Fixture fixture;
     auto before = fixture.process->submit("a");
     fixture.exchange();
-    REQUIRE(fixture.process->placed[before] == "server-a");
+    REQUIRE(fixture.process->placed[before].server == "server-a");
 
     fixture.restart("second");
     fixture.beacons();
@@ -138,7 +73,7 @@
     auto after = fixture.process->submit("b");
     REQUIRE(after == before);
     fixture.exchange();
-    CHECK(fixture.process->placed[after] == "server-b");
+    CHECK(fixture.process->placed[after].server == "server-b");
 }
 
 // Guards against decisions that are addressed to a host's address only, where another process runs by now.
@@ -152,7 +87,6 @@
     fixture.exchange();
     REQUIRE(fixture.process->placed.size() == 1);
     // The slots become free, and the time of the other job ends, after the process was killed.
-    wire::Datagram end;
     fixture.process->placement.reportEnd(running, balance::JobResult::Answered, std::chrono::milliseconds(100));
     fixture.coordinator.receive(fixture.process->takeDatagram(), hostAddress);
     auto placements = fixture.coordinator.takeReplies();
@@ -193,7 +127,7 @@
     CHECK(fixture.coordinator.waitingJobs() == 0);
     auto job = fixture.process->submit("a");
     fixture.exchange();
-    CHECK(fixture.process->placed[job] == "server-a");
+    CHECK(fixture.process->placed[job].server == "server-a");
 }
 
 // Guards against a process that loses its jobs because datagrams of its predecessor arrive late, twice or out of order.
@@ -214,7 +148,7 @@
         auto job = fixture.process->submit("b");
         fixture.coordinator.receive(late, hostAddress);
         fixture.exchange();
-        CHECK(fixture.process->placed[job] == "server-b");
+        CHECK(fixture.process->placed[job].server == "server-b");
         fixture.process->placement.reportEnd(job, balance::JobResult::Answered, std::chrono::milliseconds(10));
         fixture.beacons();
         fixture.exchange();
@@ -249,10 +183,10 @@
     wire::Datagram datagram;
     datagram.set_term(term);
     datagram.mutable_beacon();
-    CHECK(identity.receive(datagram, {}) == Addressee::AnyProcess);
+    CHECK(identity.identifyReceiver(datagram, {}) == Addressee::AnyProcess);
     CHECK(identity.number() == 0);
     wire::Datagram report;
-    identity.sign(report, term, {});
+    identity.setSender(report, term, {});
     CHECK(report.sender() == "self");
 }
 
@@ -264,13 +198,13 @@
     datagram.set_term(term);
     datagram.set_host_number(7);
     datagram.set_receiver(digestOfIncarnation("self"));
-    REQUIRE(identity.receive(datagram, {}) == Addressee::ThisProcess);
+    REQUIRE(identity.identifyReceiver(datagram, {}) == Addressee::ThisProcess);
     datagram.set_term(term + 1);
     datagram.clear_receiver();
-    CHECK(identity.receive(datagram, {}) == Addressee::OtherProcess);
+    CHECK(identity.identifyReceiver(datagram, {}) == Addressee::OtherProcess);
     CHECK(identity.number() == 0);
     wire::Datagram report;
-    identity.sign(report, term + 1, {});
+    identity.setSender(report, term + 1, {});
     CHECK(report.sender() == "self");
     REQUIRE(report.replaced_hosts_size() == 1);
     CHECK(report.replaced_hosts(0) == 7);
--- a/programs/node/src/CoordinationTask.cpp
+++ b/programs/node/src/CoordinationTask.cpp
@@ -237,7 +237,8 @@
 void CoordinationTask::handleDatagram(const wire::Datagram& datagram, const std::string& sender)
 {
     bool fromHost = datagram.has_report() || datagram.submits_size() > 0 || datagram.ends_size() > 0
-        || datagram.withdrawals_size() > 0 || datagram.notices_size() > 0;
+        || datagram.withdrawals_size() > 0 || datagram.notices_size() > 0 || datagram.has_unmanaged_loads()
+        || datagram.replaced_hosts_size() > 0;
     if (fromHost && this->coordinator) {
         this->coordinator->receive(datagram, sender);
         this->election.peerReported(this->reactor.now());
@@ -248,12 +249,12 @@
     }
     if (fromHost || datagram.term() < this->coordinatorTerm)
         return;
-    if (datagram.term() != this->coordinatorTerm)
+    if (datagram.term() != this->coordinatorTerm) {
         this->coordinatorDataCentre.clear();
+        this->standbyRank = 0;
+    }
     this->coordinatorTerm = datagram.term();
-    auto addressee = this->identity.receive(datagram, this->reactor.now());
-    if (addressee == coordination::Addressee::ThisProcess)
-        this->placement->setHostNumber(this->identity.number());
+    auto addressee = this->identity.identifyReceiver(datagram, this->reactor.now());
     this->logHostNumber();
     if (datagram.has_beacon())
         this->handleBeacon(datagram, sender, addressee != coordination::Addressee::OtherProcess);
@@ -262,17 +263,17 @@
     if (this->hasReceivedBeacon)
         this->placement->onCoordinatorContact(datagram.term());
     this->placement->preferOwnList(!this->coordinator && this->receivedState.prefersOwnList(this->reactor.now()));
-    if (addressee != coordination::Addressee::OtherProcess)
-        this->placement->receive(datagram);
+    this->placement->receive(datagram, addressee, this->identity.number());
 }
 
-// A beacon for another process tells of the coordinator, but the rank as a standby is not this process's.
+// A beacon for another process tells of the coordinator, but not of this process's rank as a standby.
 void CoordinationTask::handleBeacon(const wire::Datagram& datagram, const std::string& sender, bool forThisProcess)
 {
     const auto& beacon = datagram.beacon();
-    auto rank = forThisProcess ? beacon.heir_rank() : 0;
+    if (forThisProcess)
+        this->standbyRank = beacon.heir_rank();
     this->execute(this->election.beaconReceived(
-        { datagram.term(), sender, beacon.resigned(), rank, beacon.ask_store() }, this->reactor.now()));
+        { datagram.term(), sender, beacon.resigned(), this->standbyRank, beacon.ask_store() }, this->reactor.now()));
     if (forThisProcess && beacon.host_addresses_size() > 0)
         this->knownHosts.assign(beacon.host_addresses().begin(), beacon.host_addresses().end());
     if (this->onVersionAnnounced)
@@ -355,7 +356,7 @@
 
 void CoordinationTask::sendToCoordinator(wire::Datagram& datagram)
 {
-    this->identity.sign(datagram, this->coordinatorTerm, this->reactor.now());
+    this->identity.setSender(datagram, this->coordinatorTerm, this->reactor.now());
     this->sender.send(datagram, this->election.coordinatorAddress(),
         coordination::trafficScope(this->dataCentre, this->coordinatorDataCentre));
 }
--- a/programs/node/src/CoordinationTask.h
+++ b/programs/node/src/CoordinationTask.h
@@ -139,6 +139,7 @@
     ReceivedState receivedState;
     TimePoint lastBeaconReceived {};
     std::uint64_t coordinatorTerm = 0;
+    std::uint32_t standbyRank = 0; //!< of this process in the term; 0 if others come first
     std::string coordinatorDataCentre; //!< empty when it is not known
     bool hasReceivedBeacon = false;
     std::vector<std::string> knownHosts; //!< addresses, which a standby gets in beacons
