Tell submissions of one job apart

Callers whose request was taken back from a slow coordinator and submitted again could wait until their deadline.

A late withdrawal dropped the new submission, which the host took for acknowledged. A late submission of a job that runs by a local decision took a slot until the deadline, since its placement was ignored.

Change: Submit, Withdraw, JobEnd and Placed say which submission they are about; the first one is 0 and takes no bytes. The coordinator keeps the later ones by host, until the job has ended, and drops what is about an earlier one. A placement that is not for the present submission is given back.

--- a/libs/coordination/include/coordination/Coordinator.h
+++ b/libs/coordination/include/coordination/Coordinator.h
@@ -130,6 +130,8 @@
         bool leaving = false;
         TimePoint lastStoreContact {}; //!< as the host reported
         TimePoint addressesSentAt {}; //!< when this standby last got the addresses of all hosts
+        //! Latest submissions of the jobs that the host has taken back and submitted again.
+        std::map<std::uint64_t, std::uint32_t> submissions;
     };
     struct KeyedService {
         std::unique_ptr<keyspace::KeyLeaseManager> leaseManager;
@@ -145,6 +147,10 @@
     Host& findOrAddHost(const std::string& incarnation, const std::string& address);
     void applyReport(Host& host, const wire::Report& report);
     void submitJob(Host& host, const wire::Submit& message);
+    //! Returns whether the job was not submitted later; drops what was decided about an earlier submission of it.
+    bool acceptSubmission(Host& host, const wire::Submit& message);
+    static std::uint32_t submissionOf(const Host& host, std::uint64_t job);
+    void forgetEndedSubmissions(Host& host);
     //! Processes the ends and withdrawals of jobs of this term.
     void endJobs(const Host& host, const wire::Datagram& datagram);
     void applyNotice(const Host& host, const wire::ServerNotice& notice);
--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -100,6 +100,7 @@
         TimePoint lastSent {};
         unsigned resendCount = 0;
         std::string declinedServer; //!< a placement on this server was not used
+        std::uint32_t submission = 0; //!< how often this host has taken the job back from the coordinator
     };
 
     void sendSubmit(PendingJob& entry);
@@ -107,6 +108,7 @@
     void submitLocally(std::uint64_t number);
     void applyDecisions(const std::vector<balance::SchedulingDecision>& decisions);
     void resubmitAll();
+    void onPlacementReceived(const wire::Placed& message);
     void onJobPlaced(
         std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator);
     //! Returns whether the job was misplaced, and finds another decision for it then.
@@ -123,8 +125,9 @@
     void applyServers();
     std::string addressOf(const std::string& server) const;
     void onJobRefused(std::uint64_t number, balance::RefusalReason reason, Duration retryAfter);
-    void queueJobEnd(std::uint64_t number, balance::JobResult result, Duration elapsed,
+    void queueJobEnd(std::uint64_t number, std::uint32_t submission, balance::JobResult result, Duration elapsed,
         const std::optional<balance::ServerReport>& load = std::nullopt);
+    void queueWithdrawal(std::uint64_t number, std::uint32_t submission);
 
     //! This host's number in its own scheduler.
     static constexpr std::uint64_t localHost = 0;
@@ -150,6 +153,7 @@
         fleet::ServerInstance server;
         std::uint64_t term = 0; //!< term of the coordinator that placed the job; 0 for a local placement
         std::uint64_t hostNumber = 0; //!< this host's number when the job was placed
+        std::uint32_t submission = 0; //!< under which it was placed
     };
     std::map<std::uint64_t, PlacedJob> placedJobs;
     std::uint64_t term = 0;
--- a/libs/coordination/src/Coordinator.cpp
+++ b/libs/coordination/src/Coordinator.cpp
@@ -188,12 +188,16 @@
 {
     auto now = this->clock.now();
     for (const auto& end : datagram.ends()) {
+        if (end.submission() < submissionOf(host, end.job()))
+            continue;
         auto elapsed = std::min<std::uint64_t>(end.elapsed_us(), static_cast<std::uint64_t>(maxJobTime.count()));
         if (auto result = jobResultOf(end.result()))
             this->addDecisions(this->scheduler.jobEnded({ host.number, end.job() }, *result,
                 Duration(static_cast<std::int64_t>(elapsed)), now, serverReportOf(end)));
     }
     for (const auto& withdrawal : datagram.withdrawals()) {
+        if (withdrawal.submission() < submissionOf(host, withdrawal.job()))
+            continue;
         balance::JobId id { host.number, withdrawal.job() };
         this->scheduler.withdraw(id);
         this->addDecisions(this->scheduler.jobEnded(id, balance::JobResult::Abandoned, {}, now));
@@ -218,9 +222,37 @@
         this->applyServers();
 }
 
+std::uint32_t Coordinator::submissionOf(const Host& host, std::uint64_t job)
+{
+    auto found = host.submissions.find(job);
+    return found == host.submissions.end() ? 0 : found->second;
+}
+
+bool Coordinator::acceptSubmission(Host& host, const wire::Submit& message)
+{
+    auto known = submissionOf(host, message.job());
+    if (message.submission() <= known)
+        return message.submission() == known;
+    host.submissions[message.job()] = message.submission();
+    balance::JobId id { host.number, message.job() };
+    this->scheduler.withdraw(id);
+    this->addDecisions(this->scheduler.jobEnded(id, balance::JobResult::Abandoned, {}, this->clock.now()));
+    return true;
+}
+
+void Coordinator::forgetEndedSubmissions(Host& host)
+{
+    std::erase_if(host.submissions, [&](const auto& entry) {
+        balance::JobId id { host.number, entry.first };
+        return !this->scheduler.isWaiting(id) && !this->scheduler.placementOf(id);
+    });
+}
+
 void Coordinator::submitJob(Host& host, const wire::Submit& message)
 {
     auto now = this->clock.now();
+    if (!this->acceptSubmission(host, message))
+        return;
     balance::JobId id { host.number, message.job() };
     if (const auto* server = this->scheduler.placementOf(id)) {
         if (*server != message.declined_server()) {
@@ -259,6 +291,9 @@
     auto* message = this->replyTo(hostNumber).add_placements();
     message->set_job(job);
     message->set_server(server);
+    auto host = this->findHost(hostNumber);
+    if (host != this->hosts.end())
+        message->set_submission(submissionOf(host->second, job));
     auto entry = this->servers.find(server);
     if (entry != this->servers.end()) {
         message->set_address(entry->second.address);
@@ -287,6 +322,7 @@
 void Coordinator::applyReport(Host& host, const wire::Report& report)
 {
     this->setUnmanagedJobs(host, inFlightByServer(report.loads()));
+    this->forgetEndedSubmissions(host);
     host.processorShare = report.strength();
     host.dataCentre = report.data_centre();
     this->dataCentreByAddress[host.address] = host.dataCentre;
--- a/libs/coordination/src/PlacementChecks.cpp
+++ b/libs/coordination/src/PlacementChecks.cpp
@@ -30,7 +30,8 @@
 // A server that belongs to another service would run the request. No correct decision names one.
 bool PlacementClient::replaceMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator)
 {
-    const auto& job = this->pendingJobs.at(number).job;
+    const auto& pending = this->pendingJobs.at(number);
+    const auto& job = pending.job;
     auto entry = this->listedServers.find(server.id);
     if (entry == this->listedServers.end() || entry->second.instance != server || entry->second.service == job.service)
         return false;
@@ -39,7 +40,7 @@
         this->misplacements.push_back(
             { number, job.service, server.id, entry->second.service, byCoordinator ? this->term : 0 });
     if (byCoordinator) {
-        this->queueJobEnd(number, balance::JobResult::Abandoned, {});
+        this->queueJobEnd(number, pending.submission, balance::JobResult::Abandoned, {});
         this->submitLocally(number);
         return true;
     }
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -67,6 +67,7 @@
     auto* message = this->outgoing.add_submits();
     fillSubmit(entry.job, now, *message);
     message->set_declined_server(entry.declinedServer);
+    message->set_submission(entry.submission);
     this->hasOutgoing = true;
     this->scheduleSend();
 }
@@ -91,8 +92,7 @@
     if (found == this->pendingJobs.end())
         return;
     if (found->second.atCoordinator) {
-        this->outgoing.add_withdrawals()->set_job(job);
-        this->hasOutgoing = true;
+        this->queueWithdrawal(job, found->second.submission);
         this->scheduleSend();
     } else
         this->scheduler.withdraw(found->second.job.id);
@@ -107,9 +107,10 @@
         return;
     auto placementTerm = found->second.term;
     bool isKnownToCoordinator = placementTerm == this->term && found->second.hostNumber == this->hostNumber;
+    auto submission = found->second.submission;
     this->placedJobs.erase(found);
     if (isKnownToCoordinator && placementTerm != 0)
-        this->queueJobEnd(job, result, elapsed, load);
+        this->queueJobEnd(job, submission, result, elapsed, load);
     else if (placementTerm == 0)
         this->applyDecisions(this->scheduler.jobEnded({ 0, job }, result, elapsed, this->clock.now(), load));
 }
@@ -170,11 +171,20 @@
         *datagram.add_notices() = this->noticeOf(instance);
 }
 
-void PlacementClient::queueJobEnd(
-    std::uint64_t number, balance::JobResult result, Duration elapsed, const std::optional<balance::ServerReport>& load)
+void PlacementClient::queueWithdrawal(std::uint64_t number, std::uint32_t submission)
+{
+    auto* message = this->outgoing.add_withdrawals();
+    message->set_job(number);
+    message->set_submission(submission);
+    this->hasOutgoing = true;
+}
+
+void PlacementClient::queueJobEnd(std::uint64_t number, std::uint32_t submission, balance::JobResult result,
+    Duration elapsed, const std::optional<balance::ServerReport>& load)
 {
     wire::JobEnd end;
     end.set_job(number);
+    end.set_submission(submission);
     end.set_result(static_cast<std::uint32_t>(result));
     end.set_elapsed_us(static_cast<std::uint64_t>(elapsed.count()));
     if (load)
@@ -245,6 +255,8 @@
         entry.atCoordinator = true;
         entry.acknowledged = false;
         entry.resendCount = 0;
+        // A withdrawal or an end of the submission before may arrive after this one.
+        ++entry.submission;
         entry.firstSent = this->clock.now();
         this->sendSubmit(entry);
     }
@@ -327,28 +339,39 @@
         found->second.acknowledged = true;
     }
     for (const auto& message : datagram.placements())
-        this->onJobPlaced(message.job(), { message.server(), message.born_ms() }, message.address(), true);
+        this->onPlacementReceived(message);
     for (const auto& message : datagram.refusals())
         this->onJobRefused(message.job(),
             refusalReasonOf(message.reason()).value_or(balance::RefusalReason::Overloaded),
             boundedMillis(static_cast<std::int64_t>(std::min<std::uint64_t>(message.retry_after_ms(), INT64_MAX))));
 }
 
+void PlacementClient::onPlacementReceived(const wire::Placed& message)
+{
+    auto pending = this->pendingJobs.find(message.job());
+    auto placed = this->placedJobs.find(message.job());
+    bool isWaiting = pending != this->pendingJobs.end() && pending->second.atCoordinator
+        && pending->second.submission == message.submission();
+    bool isRunning = placed != this->placedJobs.end() && placed->second.term == this->term
+        && placed->second.submission == message.submission();
+    if (isWaiting)
+        this->onJobPlaced(message.job(), { message.server(), message.born_ms() }, message.address(), true);
+    else if (!isRunning)
+        // The job has ended or was taken back in the meantime; its slot is freed.
+        this->queueJobEnd(message.job(), message.submission(), balance::JobResult::Abandoned, {});
+}
+
 void PlacementClient::onJobPlaced(
     std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator)
 {
     auto found = this->pendingJobs.find(number);
-    if (found == this->pendingJobs.end() || found->second.atCoordinator != byCoordinator) {
-        // The job has ended in the meantime; its slot is freed.
-        if (byCoordinator && !this->placedJobs.contains(number))
-            this->queueJobEnd(number, balance::JobResult::Abandoned, {});
+    if (found == this->pendingJobs.end() || found->second.atCoordinator != byCoordinator)
         return;
-    }
     if (this->replaceMisplacement(number, server, byCoordinator))
         return;
     if (byCoordinator && (this->isEvacuated(server.id) || this->isGone(server))) {
         // The coordinator does not know it yet, and would place the job there again.
-        this->queueJobEnd(number, balance::JobResult::Abandoned, {});
+        this->queueJobEnd(number, found->second.submission, balance::JobResult::Abandoned, {});
         this->submitLocally(number);
         return;
     }
@@ -359,8 +382,9 @@
     if (byCoordinator)
         this->recordReply(found->second);
     auto* observer = found->second.observer;
+    auto submission = found->second.submission;
     this->pendingJobs.erase(found);
-    this->placedJobs[number] = { server, byCoordinator ? this->term : 0, this->hostNumber };
+    this->placedJobs[number] = { server, byCoordinator ? this->term : 0, this->hostNumber, submission };
     observer->onPlaced(number, { server.id, address, this->placedJobs[number].term });
 }
 
@@ -419,8 +443,7 @@
         }
     }
     for (auto number : unanswered) {
-        this->outgoing.add_withdrawals()->set_job(number);
-        this->hasOutgoing = true;
+        this->queueWithdrawal(number, this->pendingJobs.at(number).submission);
         this->submitLocally(number);
     }
 }
