--- a/tests/soak/src/Fleet.cpp
+++ b/tests/soak/src/Fleet.cpp
@@ -252,8 +252,19 @@
     std::filesystem::rename(next, host.settingsFile);
 }
 
+// The host stops wrong decisions before they reach a server, so that no server can show them.
+void Fleet::checkLog(const Host& host)
+{
+    std::ifstream log(host.process->logFile());
+    for (std::string line; std::getline(log, line);) {
+        if (line.find("event=placement_refused") != std::string::npos)
+            this->violated("placement", "host=" + host.address + " log=" + host.process->logFile());
+    }
+}
+
 void Fleet::processEnded(Host& host, ProcessEnd end)
 {
+    this->checkLog(host);
     // A process that has not come to its signal handlers yet ends by the signal itself.
     bool atStart = end.beforeHandlers && (end.code == SIGTERM ? host.terminating : end.code == SIGHUP);
     bool expected = end.bySignal ? (host.killed && end.code == SIGKILL) || atStart : host.terminating && end.code == 0;
--- a/tests/soak/src/Fleet.h
+++ b/tests/soak/src/Fleet.h
@@ -82,6 +82,8 @@
     Result<Success> addHost(unsigned number);
     void beat();
     void askReady();
+    //! Reports the decisions for other services' servers in the log of a process that has ended.
+    void checkLog(const Host& host);
     void processEnded(Host& host, ProcessEnd end);
 
     net::Reactor& reactor;
