Keep connections for lease orders apart by server, not by address only

Cause: the connections of LeaseOrderSender were kept by address. An address belongs to another server some seconds after its server has ended, and the coordinator orders the ended one until its entry expires: the new server answers 421. The first grant to the new server used the same connection, where a late second copy of the 421 without a request id was taken for its answer.

Callers see: the grant counts as not sent although it is carried out, so its lease is not counted. If the server then leaves the list, its keys are granted to another one at once, and both serve them for up to the lease duration.

--- a/libs/client/include/client/HttpClient.h
+++ b/libs/client/include/client/HttpClient.h
@@ -20,6 +20,9 @@
     std::string tagHeader {};
     std::string tag {};
     std::optional<std::size_t> maxResponseBytes {}; //!< a longer response fails the request
+    //! Distinguishes peers that use the same address one after the other, whose connections are kept apart; the address
+    //! if empty.
+    std::string peer {};
     bool onNewConnection = false; //!< no late bytes of an earlier response can be taken for this one's
 };
 
--- a/libs/client/src/HttpClient.cpp
+++ b/libs/client/src/HttpClient.cpp
@@ -128,7 +128,8 @@
     auto& pending
         = *this->pendingCalls.emplace_back(std::make_unique<Pending>(*this, address, request, std::move(callback)));
     pending.timer = this->reactor.scheduleAfter(timeout, [&pending] { pending.expire(); });
-    pending.connection = &this->pool.acquire(address, valueOf(parsed), request.onNewConnection ? noReuse : maxIdle);
+    pending.connection = &this->pool.acquire(
+        request.peer.empty() ? address : request.peer, valueOf(parsed), request.onNewConnection ? noReuse : maxIdle);
     pending.connection->startRequest(requestText(address, request), request.method == "HEAD",
         request.maxResponseBytes.value_or(defaultMaxResponseBytes), pending, request.tag);
     if (pending.connection)
