Withdraw a job from the host's scheduler when a late refusal ends it

Cause: a host takes a job back after 250 ms without a reply. A refusal of the coordinator that arrives later ended the job for its caller, found by number, but not in the host's own scheduler, which placed it later.

Callers see: nothing runs twice, but a slot of the host's share (often the only one of a server) stays taken for a job that nobody has, until 0.5 s after its deadline. Other requests of this host wait or are refused.

Change: the end of a job that is not at the coordinator withdraws it.

Measured: the new test fails without the change (no job is placed afterwards) and holds with it; coordination_tests 69 passed.

--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -350,6 +350,9 @@
         return;
     auto* observer = found->second.observer;
     auto decidingTerm = found->second.atCoordinator ? this->term : 0;
+    // A late refusal of the coordinator finds the job in this host's own scheduler.
+    if (!found->second.atCoordinator)
+        this->scheduler.withdraw(found->second.job.id);
     this->pendingJobs.erase(found);
     observer->onRefused(number, { reason, retryAfter, decidingTerm });
 }
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -220,6 +220,31 @@
     CHECK(fixture.observer.placed.size() == 2);
 }
 
+// Guards against a slot that stays taken by a job whose caller was refused: the job had gone back to the host's own
+// scheduler, which placed it later.
+TEST_CASE("a refusal of the coordinator also withdraws a job that waits at the host by then")
+{
+    CoordinationFixture fixture(1);
+    auto running = fixture.submit();
+    auto waiting = fixture.submit();
+    fixture.sendToCoordinator(true);
+    for (int i = 0; i < 6; ++i) {
+        fixture.clock.advance(std::chrono::milliseconds(50));
+        fixture.host.onCoordinatorContact(1);
+        fixture.host.tick();
+    }
+    REQUIRE(fixture.observer.placed.contains(running));
+    REQUIRE_FALSE(fixture.observer.placed.contains(waiting));
+    wire::Datagram late;
+    late.add_refusals()->set_job(waiting);
+    fixture.host.receive(late);
+    CHECK(fixture.observer.refused.contains(waiting));
+    fixture.host.reportEnd(running, balance::JobResult::Answered, std::chrono::milliseconds(100));
+    CHECK_FALSE(fixture.observer.placed.contains(waiting));
+    fixture.host.onCoordinatorLost();
+    CHECK(fixture.observer.placed.contains(fixture.submit()));
+}
+
 // Guards against requests that are run by another service's server because of a wrong decision.
 TEST_CASE("a placement on a server of another service is not used, and its slot is freed")
 {
