Ignore the load that a server stated before it started anew

Cause: the end of a job is matched to its server by id. The figures in the response of the process before a restart were recorded for the new process.

Callers see: for 200 ms the new process counts as full and gets one job at a time; its pace counts for some 300 ms. Nothing runs at a wrong place.

Change: the report counts only if the server still has the job, as the result of the job already does.

--- a/libs/balance/src/Scheduler.cpp
+++ b/libs/balance/src/Scheduler.cpp
@@ -260,7 +260,8 @@
             if (pool.costAware)
                 pool.work.record(placement.workClass, elapsed);
         }
-        if (report)
+        // A server that has started anew since does not have the job, and the report is not about it.
+        if (report && load->second.hasJob(job))
             load->second.recordReport(*report, now);
         auto average = pool.costAware ? pool.work.mean(placement.workClass) : pool.averageServiceTime();
         load->second.jobEnded(job, result, elapsed, average, now);
--- a/libs/balance/tests/SchedulerTest.cpp
+++ b/libs/balance/tests/SchedulerTest.cpp
@@ -208,6 +208,19 @@
     }
 }
 
+// Guards against a server that gets fewer jobs because of what its earlier process stated.
+TEST_CASE("the load that a server stated before a restart does not count afterwards")
+{
+    TestScheduler test(1);
+    auto before = test.job();
+    REQUIRE(serverOf(test.submit(before)) == "s0");
+    test.serverMap["s0"].instance.startMillis = 2;
+    test.scheduler.setServers(test.serverMap, test.now);
+    test.scheduler.jobEnded(before.id, JobResult::Answered, serviceTime, test.now, ServerReport { 2, 5, 2, 900 });
+    CHECK(serverOf(test.submit(test.job())) == "s0");
+    CHECK(serverOf(test.submit(test.job())) == "s0");
+}
+
 TEST_CASE("a job of a keyed service goes to the owner of its key, and waits while the key moves")
 {
     TestScheduler test(3);
