Repeat a lost placement only while its server has the job

Cause: a placement names its server by id. A host that had not received it got it again after the server had started anew (with the address of the new process, which was not charged with the job) or had ended (without an address).

Callers see: a restarted server gets more jobs than it has slots, also beyond the limit for cold servers, or answers 421 for a key that it does not hold yet; after the end of a server the request fails once more before it is placed. Nothing runs at another service.

Change: the coordinator counts such a placement as ended and places the job anew.

--- a/libs/coordination/src/CoordinatorJobs.cpp
+++ b/libs/coordination/src/CoordinatorJobs.cpp
@@ -69,7 +69,10 @@
         return;
     balance::JobId id { host.number, message.job() };
     if (const auto* server = this->scheduler.placementOf(id)) {
-        if (*server != message.declined_server()) {
+        // A server that has started anew or has ended since does not have the job.
+        auto load = this->scheduler.servers().find(*server);
+        bool hasJob = load != this->scheduler.servers().end() && load->second.hasJob(id);
+        if (hasJob && *server != message.declined_server()) {
             // The host submits the job again because the placement was lost.
             this->addPlacement(host.number, message.job(), *server);
             return;
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -155,6 +155,37 @@
     }
 }
 
+// Guards against a lost placement that is repeated for a server that does not have the job: one that has started anew
+// got more jobs than it has slots, and one that has ended was named without an address.
+TEST_CASE("a placement is not repeated after its server has started anew or has ended")
+{
+    for (bool isBack : { true, false }) {
+        CAPTURE(isBack);
+        CoordinationFixture fixture(1);
+        auto job = fixture.submit();
+        fixture.sendToCoordinator();
+        fixture.sendToHost(true);
+        auto listed = servers(2);
+        listed["s0"].instance.startMillis = 2;
+        listed.erase(isBack ? "s1" : "s0");
+        fixture.coordinator.setServers(listed);
+        fixture.submit();
+        fixture.submit();
+        fixture.sendToCoordinator();
+        fixture.sendToHost();
+        REQUIRE(fixture.observer.placed.size() == 2);
+        fixture.clock.advance(std::chrono::milliseconds(50));
+        fixture.host.tick();
+        fixture.sendToCoordinator();
+        fixture.sendToHost();
+        CHECK_FALSE(fixture.observer.placed.contains(job));
+        fixture.host.reportEnd(job + 1, balance::JobResult::Answered, std::chrono::milliseconds(100));
+        fixture.sendToCoordinator();
+        fixture.sendToHost();
+        CHECK(fixture.observer.placed[job].server == (isBack ? "s0" : "s1"));
+    }
+}
+
 // Guards against slots that stay occupied because the message about the job's end was lost.
 TEST_CASE("a lost job end is repeated in the next message")
 {
