Apply the pause of a server only to the process that asked for it

Cause: a host applied a pause to the server's id in its own scheduler. The response of a process that ended in between paused the new one; the coordinator compares the instance already.

Callers see: a host without a coordinator places no request on the new process for up to the length of the pause, 60 s at most.

Change: the host compares the instance, too.

Measured: the new test fails without the change and holds with it; coordination_tests 71 passed.

--- a/libs/coordination/src/PlacementNotices.cpp
+++ b/libs/coordination/src/PlacementNotices.cpp
@@ -24,7 +24,8 @@
         auto& end = this->pauses[server];
         isNew = isNew || until > end;
         end = std::max(end, until);
-        this->scheduler.pauseServer(server.id, localHost, end);
+        if (this->instanceOf(server.id) == server)
+            this->scheduler.pauseServer(server.id, localHost, end);
     }
     if (isNew && this->coordinatorActive) {
         *this->outgoing.add_notices() = this->noticeOf(server);
--- a/libs/coordination/tests/CoordinationTest.cpp
+++ b/libs/coordination/tests/CoordinationTest.cpp
@@ -583,6 +583,21 @@
     CHECK(fixture.observer.placed.contains(crossing));
 }
 
+// Guards against a server that gets no requests for up to a minute because its earlier process asked for a pause.
+TEST_CASE("a pause that a server asked for before it started anew does not concern the new process")
+{
+    CoordinationFixture fixture(1);
+    auto job = fixture.submit();
+    fixture.sendToCoordinator();
+    fixture.sendToHost();
+    auto listed = servers(1);
+    listed["s0"].instance.startMillis = 2;
+    fixture.host.setServers(listed);
+    fixture.host.reportNotice(job, { false, std::chrono::seconds(30) });
+    fixture.host.onCoordinatorLost();
+    CHECK(fixture.observer.placed.contains(fixture.submit()));
+}
+
 // Guards against callers of a host that was silent for a while: the coordinator forgets its waiting jobs, and a host
 // that heard the coordinator all the time took them for queued until their deadlines.
 TEST_CASE("a host that the coordinator removed after a silence resubmits its waiting jobs")
