Split the check for a server of another service from what follows from it

Cause: one function with a boolean result looked, counted, logged and decided anew.

Change: isOfOtherService() and refuseMisplacement(); texts of a metric and of an option. No change of behaviour.

--- a/libs/coordination/include/coordination/PlacementClient.h
+++ b/libs/coordination/include/coordination/PlacementClient.h
@@ -111,8 +111,9 @@
     void onPlacementReceived(const wire::Placed& message);
     void onJobPlaced(
         std::uint64_t number, const fleet::ServerInstance& server, const std::string& address, bool byCoordinator);
-    //! Returns whether the job was misplaced, and finds another decision for it then.
-    bool replaceMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator);
+    bool isOfOtherService(const fleet::ServerInstance& server, const std::string& service) const;
+    //! Records a placement on a server of another service, and finds another decision for the job.
+    void refuseMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator);
     bool mustDecline(const fleet::ServerInstance& server) const;
     bool isEvacuated(const std::string& server) const;
     bool isGone(const fleet::ServerInstance& server) const;
--- a/libs/coordination/src/HostIdentity.cpp
+++ b/libs/coordination/src/HostIdentity.cpp
@@ -45,7 +45,7 @@
         return Addressee::ThisProcess;
     }
     ++this->misdirected;
-    // Only one process at a time receives at an address, so the one that the datagram was for has ended.
+    // Only one process at a time can bind an address, so the one that the datagram was for has ended.
     if (!isOwn && this->replacedNumbers.size() < maxReplacedNumbers)
         this->replacedNumbers.insert(number);
     return Addressee::OtherProcess;
--- a/libs/coordination/src/PlacementChecks.cpp
+++ b/libs/coordination/src/PlacementChecks.cpp
@@ -27,27 +27,28 @@
     return entry == this->listedServers.end() || entry->second.instance.startMillis > server.startMillis;
 }
 
-// A server that belongs to another service would run the request. No correct decision names one.
-bool PlacementClient::replaceMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator)
+bool PlacementClient::isOfOtherService(const fleet::ServerInstance& server, const std::string& service) const
 {
-    const auto& pending = this->pendingJobs.at(number);
-    const auto& job = pending.job;
     auto entry = this->listedServers.find(server.id);
-    if (entry == this->listedServers.end() || entry->second.instance != server || entry->second.service == job.service)
-        return false;
+    return entry != this->listedServers.end() && entry->second.instance == server && entry->second.service != service;
+}
+
+// A server of another service would run the request. No correct decision names one.
+void PlacementClient::refuseMisplacement(std::uint64_t number, const fleet::ServerInstance& server, bool byCoordinator)
+{
+    const auto& pending = this->pendingJobs.at(number);
     ++this->misplacedCount;
     if (this->misplacements.size() < maxLoggedMisplacements)
-        this->misplacements.push_back(
-            { number, job.service, server.id, entry->second.service, byCoordinator ? this->term : 0 });
+        this->misplacements.push_back({ number, pending.job.service, server.id,
+            this->listedServers.at(server.id).service, byCoordinator ? this->term : 0 });
     if (byCoordinator) {
         this->queueJobEnd(number, pending.submission, balance::JobResult::Abandoned, {});
         this->submitLocally(number);
-        return true;
+        return;
     }
     // The next decision for the slot might be refused, too, so the slot is freed with the next tick.
     this->misplacedLocally.push_back(number);
     this->onJobRefused(number, balance::RefusalReason::NoServer, misplacedRetryAfter);
-    return true;
 }
 
 std::vector<Misplacement> PlacementClient::takeMisplacements()
--- a/libs/coordination/src/PlacementClient.cpp
+++ b/libs/coordination/src/PlacementClient.cpp
@@ -310,8 +310,10 @@
     auto found = this->pendingJobs.find(number);
     if (found == this->pendingJobs.end() || found->second.atCoordinator != byCoordinator)
         return;
-    if (this->replaceMisplacement(number, server, byCoordinator))
+    if (this->isOfOtherService(server, found->second.job.service)) {
+        this->refuseMisplacement(number, server, byCoordinator);
         return;
+    }
     if (byCoordinator && (this->isEvacuated(server.id) || this->isGone(server))) {
         // The coordinator does not know it yet, and would place the job there again.
         this->queueJobEnd(number, found->second.submission, balance::JobResult::Abandoned, {});
--- a/programs/node/src/NodeService.cpp
+++ b/programs/node/src/NodeService.cpp
@@ -232,7 +232,7 @@
     add("sequoia_datagrams_refused_total", "counter", "Datagrams to other hosts that the kernel did not accept.",
         count(this->coordination->refusedDatagrams()));
     add("sequoia_datagrams_misdirected_total", "counter",
-        "Datagrams of the coordinator for an earlier process at this host's address.",
+        "Datagrams of the coordinator for an earlier process at this address, or under an earlier number of this one.",
         count(this->coordination->misdirectedDatagrams()));
     add("sequoia_placements_refused_total", "counter",
         "Placements on servers of another service than the request's, which were not used.",
--- a/tests/soak/src/main.cpp
+++ b/tests/soak/src/main.cpp
@@ -12,8 +12,7 @@
 DEFINE_uint32(hosts, 5, "hosts, 2 to 50");
 DEFINE_string(mix, "all",
     "faults: all, planned (stops, reloads, drains and changes of the configuration only), or restarts (hosts end in "
-    "series "
-    "and are back at once)");
+    "series and are back at once)");
 DEFINE_string(node, "build/bin/sequoia-node", "the program of the hosts");
 DEFINE_string(directory, "", "folder for settings and logs; a temporary one by default, removed after a clean run");
 
