--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of cases 6 to 10 into target/review-2. Needs what the build of the deploy file needs.
+# Builds the stand-ins of cases 7 to 10 into target/review-2. Needs what the build of the deploy file needs.
 set -euo pipefail
 cd "$(dirname "$0")/standins-2"
 folder=../../target/review-2
