--- a/review/standins-2/field_scan.cpp
+++ b/review/standins-2/field_scan.cpp
@@ -36,7 +36,8 @@
     auto folder = temporaryFolder();
     auto net = subnet();
     Store store(net + ".200:8541");
-    store.put("op", "config", configuration(1, { route("lookup", "safe", "rooms", timeoutMillis) }, { service("rooms") }));
+    store.put(
+        "op", "config", configuration(1, { route("lookup", "safe", "rooms", timeoutMillis) }, { service("rooms") }));
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < 20; ++i)
         instances.push_back(std::make_unique<Instance>(
@@ -88,8 +89,8 @@
     for (auto& thread : threads)
         thread.join();
     record("crowd: %d sent in %lld s, %d answered", crowdSent.load(), runMillis / 1000, crowdAnswered.load());
-    record("ordinary: %d sent, %d served, %d unanswered at the timeout of the route, %d of them 0.5 s later", sent.load(),
-        served.load(), atTimeout.load(), unanswered.load());
+    record("ordinary: %d sent, %d served, %d unanswered at the timeout of the route, %d of them 0.5 s later",
+        sent.load(), served.load(), atTimeout.load(), unanswered.load());
     bool isBroken = unanswered >= unansweredThatBreakTheRule && unanswered * 4 > atTimeout;
     record(isBroken ? "rule broken: CONFIG" : "rule held");
     nodes.clear();
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -156,7 +156,8 @@
             if (colon == std::string::npos)
                 continue;
             auto value = line.substr(colon + 1);
-            value.erase(0, value.find_first_not_of(' ') == std::string::npos ? value.size() : value.find_first_not_of(' '));
+            value.erase(
+                0, value.find_first_not_of(' ') == std::string::npos ? value.size() : value.find_first_not_of(' '));
             message.fields[lower(line.substr(0, colon))] = value;
         }
         if (lower(message.field("transfer-encoding")) == "chunked") {
@@ -318,8 +319,8 @@
 
 inline std::string answer(int status, const std::string& fields, const std::string& body)
 {
-    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields + "Content-Length: " + std::to_string(body.size())
-        + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string base64(const std::string& bytes)
@@ -439,7 +440,8 @@
                 for (const auto& entry : this->history) {
                     if (entry.version <= after || entry.table != arguments["table"])
                         continue;
-                    Json row { { "table", entry.table }, { "part", "" }, { "key", entry.key }, { "ver", entry.version } };
+                    Json row { { "table", entry.table }, { "part", "" }, { "key", entry.key },
+                        { "ver", entry.version } };
                     if (entry.removed)
                         row["deleted"] = true;
                     else
@@ -655,11 +657,12 @@
 inline std::string configuration(int version, const std::vector<Json>& routes, const std::vector<Json>& services)
 {
     // The limits of the example that `fleetbench wire` prints.
-    return Json { { "version", "r" + std::to_string(version) }, { "routes", routes }, { "services", services },
+    return Json {
+        { "version", "r" + std::to_string(version) }, { "routes", routes }, { "services", services },
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", 67108864 }, { "header_timeout_ms", 3000 },
-                { "idle_timeout_ms", 15000 } } } }
-        .dump();
+                { "idle_timeout_ms", 15000 } } }
+    }.dump();
 }
 
 // A machine's process of the deploy file, with settings from the template.
@@ -821,7 +824,8 @@
 inline std::string subnet()
 {
     for (int i = 0; i < 100; ++i) {
-        auto prefix = "127." + std::to_string(20 + (getpid() + i) % 200) + "." + std::to_string(1 + getpid() / 200 % 250);
+        auto prefix
+            = "127." + std::to_string(20 + (getpid() + i) % 200) + "." + std::to_string(1 + getpid() / 200 % 250);
         int socket = ::socket(AF_INET, SOCK_STREAM, 0);
         auto address = parse(prefix + ".1:8548");
         bool isFree = bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
--- a/review/standins-2/many_fields.cpp
+++ b/review/standins-2/many_fields.cpp
@@ -74,8 +74,8 @@
     store.put("op", "config", configuration(1, { route("order", "unsafe", "desk", 1500) }, { service("desk") }));
     std::vector<std::unique_ptr<Instance>> instances;
     for (int i = 0; i < 4; ++i)
-        instances.push_back(
-            std::make_unique<Instance>(store, "i-" + std::to_string(i), "desk", net + "." + std::to_string(100 + i) + ":0", 2, 50));
+        instances.push_back(std::make_unique<Instance>(
+            store, "i-" + std::to_string(i), "desk", net + "." + std::to_string(100 + i) + ":0", 2, 50));
     std::vector<Machine> machines(2);
     for (std::size_t i = 0; i < machines.size(); ++i) {
         machines[i].node = std::make_unique<Node>("edge-" + std::to_string(i), net + "." + std::to_string(1 + i),
--- a/review/standins-2/quarantine.cpp
+++ b/review/standins-2/quarantine.cpp
@@ -37,8 +37,8 @@
     for (int attempt = 0; attempt < 2; ++attempt) {
         auto left = end - now();
         auto body = kind.method == std::string("GET") ? "" : "order of caller " + id;
-        auto response = ask(nodes[(number + attempt) % nodes.size()]->front(), kind.route, id + "-" + std::to_string(attempt),
-            kind.method, body, static_cast<int>(left));
+        auto response = ask(nodes[(number + attempt) % nodes.size()]->front(), kind.route,
+            id + "-" + std::to_string(attempt), kind.method, body, static_cast<int>(left));
         if (response && response->status() == 200)
             return true;
         kind.refused += response && response->status() == 503 ? 1 : 0;
